--- /dev/null
+++ b/crates/cleatfold-clients/src/cloud.rs
@@ -0,0 +1,86 @@
+//! The cloud's client: one call at a time, spaced so that the nodes together keep the rate.
+
+use crate::http::Http;
+use cleatfold_control::{CloudReply, CloudRequest};
+use cleatfold_wire::cloud::{MachineList, MachineTypes, Machines};
+use hyper::Method;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+pub struct Job {
+    pub op: u64,
+    pub request: CloudRequest,
+}
+
+pub async fn run(
+    endpoint: String,
+    requests_per_s: f64,
+    mut queue: mpsc::UnboundedReceiver<Job>,
+    answer: impl Fn(u64, CloudReply),
+) {
+    let http = Http::new(&endpoint);
+    let spacing = Duration::from_secs_f64(1.0 / requests_per_s.max(0.1));
+    while let Some(job) = queue.recv().await {
+        let reply = execute(&http, &job.request).await;
+        let failed = matches!(reply, CloudReply::Failed);
+        answer(job.op, reply);
+        tokio::time::sleep(if failed { spacing * 4 } else { spacing }).await;
+    }
+}
+
+async fn execute(http: &Http, request: &CloudRequest) -> CloudReply {
+    let (method, path, body) = match request {
+        CloudRequest::Types => (Method::GET, "/machine_types".to_string(), None),
+        CloudRequest::List { from } => {
+            let from = from
+                .as_ref()
+                .map(|f| format!("from={f}&"))
+                .unwrap_or_default();
+            (Method::GET, format!("/machines?{from}page=500"), None)
+        }
+        CloudRequest::Rent(rent) => (
+            Method::POST,
+            "/machines".to_string(),
+            serde_json::to_vec(rent).ok(),
+        ),
+        CloudRequest::Delete(machines) => (
+            Method::POST,
+            "/machines/delete".to_string(),
+            serde_json::to_vec(&Machines {
+                machines: machines.clone(),
+            })
+            .ok(),
+        ),
+    };
+    let Ok((status, body)) = http.call(method, &path, body, Duration::from_secs(5)).await else {
+        return CloudReply::Failed;
+    };
+    let parsed = match (status, request) {
+        (200, CloudRequest::Types) => {
+            serde_json::from_slice::<MachineTypes>(&body).map(|t| CloudReply::Types(t.types))
+        }
+        (200, CloudRequest::List { .. }) => {
+            serde_json::from_slice::<MachineList>(&body).map(|l| CloudReply::List {
+                machines: l.machines,
+                more: l.more,
+            })
+        }
+        (200, CloudRequest::Rent(_)) => {
+            serde_json::from_slice::<Machines>(&body).map(|m| CloudReply::Rented(m.machines))
+        }
+        (200, CloudRequest::Delete(_)) => Ok(CloudReply::Deleted),
+        (503, CloudRequest::Rent(_)) => {
+            let text = String::from_utf8_lossy(&body);
+            Ok(if text.contains("capacity") {
+                CloudReply::NoCapacity
+            } else {
+                CloudReply::Failed
+            })
+        }
+        _ => Ok(CloudReply::Failed),
+    };
+    parsed.unwrap_or_else(|error| {
+        tracing::error!(%error, "unreadable answer of the cloud");
+        CloudReply::Failed
+    })
+}
--- /dev/null
+++ b/crates/cleatfold-clients/src/lib.rs
@@ -0,0 +1,6 @@
+//! Clients of the state service and the cloud, and the mesh between controllers.
+
+pub mod cloud;
+mod http;
+pub mod mesh;
+pub mod store;
--- /dev/null
+++ b/crates/cleatfold-clients/src/store.rs
@@ -0,0 +1,228 @@
+//! The state service's client: one actor per process, with a rate budget and lanes.
+//!
+//! Requests beyond the budget wait here, in the order of their lanes, instead of being
+//! refused there.
+
+use crate::http::{Http, NoAnswer};
+use cleatfold_control::{Lane, StoreReply, StoreRequest};
+use cleatfold_wire::store::{Events, Grant, Granted, Item, Page, Revision};
+use hyper::Method;
+use serde::de::DeserializeOwned;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+pub struct Job {
+    pub op: u64,
+    pub lane: Lane,
+    pub request: StoreRequest,
+}
+
+/// What this process may use of the service's limits.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    pub requests_per_s: f64,
+    pub writes_per_s: f64,
+}
+
+struct Bucket {
+    level: f64,
+    rate: f64,
+}
+
+impl Bucket {
+    fn fill(&mut self, seconds: f64) {
+        self.level = (self.level + self.rate * seconds).min((self.rate * 0.5).max(2.0));
+    }
+}
+
+struct Waiting {
+    rank: (Lane, u64),
+    job: Job,
+}
+
+impl PartialEq for Waiting {
+    fn eq(&self, other: &Self) -> bool {
+        self.rank == other.rank
+    }
+}
+impl Eq for Waiting {}
+impl PartialOrd for Waiting {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Waiting {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.rank.cmp(&other.rank)
+    }
+}
+
+fn writes(request: &StoreRequest) -> f64 {
+    match request {
+        StoreRequest::Txn(txn) => txn.changes.len() as f64,
+        _ => 0.0,
+    }
+}
+
+/// Runs until the queue's senders are gone. `answer` gets every reply.
+pub async fn run(
+    endpoint: String,
+    budget: Budget,
+    mut queue: mpsc::UnboundedReceiver<Job>,
+    answer: impl Fn(u64, StoreReply) + Clone + 'static,
+) {
+    let http = Http::new(&endpoint);
+    let mut waiting: BinaryHeap<Reverse<Waiting>> = BinaryHeap::new();
+    let mut requests = Bucket {
+        level: budget.requests_per_s * 0.5,
+        rate: budget.requests_per_s,
+    };
+    let mut changes = Bucket {
+        level: budget.writes_per_s * 0.5,
+        rate: budget.writes_per_s,
+    };
+    let mut filled = Instant::now();
+    let mut number = 0;
+    loop {
+        if waiting.is_empty() {
+            let Some(job) = queue.recv().await else {
+                return;
+            };
+            number += 1;
+            waiting.push(Reverse(Waiting {
+                rank: (job.lane, number),
+                job,
+            }));
+        }
+        while let Ok(job) = queue.try_recv() {
+            number += 1;
+            waiting.push(Reverse(Waiting {
+                rank: (job.lane, number),
+                job,
+            }));
+        }
+        let now = Instant::now();
+        let passed = now.duration_since(filled).as_secs_f64();
+        filled = now;
+        requests.fill(passed);
+        changes.fill(passed);
+        let Some(Reverse(next)) = waiting.peek() else {
+            continue;
+        };
+        let cost = writes(&next.job.request);
+        // A large transaction may overdraw the budget; it is paid back before the next one.
+        let short = (1.0 - requests.level) / requests.rate;
+        let short = short.max(if cost > 0.0 {
+            (1.0 - changes.level) / changes.rate
+        } else {
+            0.0
+        });
+        if short > 0.0 {
+            let pause = Duration::from_secs_f64(short.clamp(0.005, 0.1));
+            tokio::select! {
+                _ = tokio::time::sleep(pause) => {}
+                job = queue.recv() => match job {
+                    Some(job) => {
+                        number += 1;
+                        waiting.push(Reverse(Waiting { rank: (job.lane, number), job }));
+                    }
+                    None => return,
+                },
+            }
+            continue;
+        }
+        let Some(Reverse(next)) = waiting.pop() else {
+            continue;
+        };
+        requests.level -= 1.0;
+        changes.level -= cost;
+        let (http, answer) = (http.clone(), answer.clone());
+        tokio::task::spawn_local(async move {
+            let reply = execute(&http, next.job.request).await;
+            answer(next.job.op, reply);
+        });
+    }
+}
+
+const TIMEOUT: Duration = Duration::from_millis(1500);
+
+async fn execute(http: &Http, request: StoreRequest) -> StoreReply {
+    let write = matches!(request, StoreRequest::Txn(_));
+    let (method, path, body) = match &request {
+        StoreRequest::Get(key) => (Method::GET, format!("/store/{key}"), None),
+        StoreRequest::List { prefix, from } => {
+            let from = from
+                .as_ref()
+                .map(|f| format!("&from={f}"))
+                .unwrap_or_default();
+            (
+                Method::GET,
+                format!("/store?prefix={prefix}{from}&page=500"),
+                None,
+            )
+        }
+        StoreRequest::Txn(txn) => (Method::POST, "/multi".into(), serde_json::to_vec(txn).ok()),
+        StoreRequest::Grant { ttl_ms } => (
+            Method::POST,
+            "/grants".into(),
+            serde_json::to_vec(&Grant { ttl_ms: *ttl_ms }).ok(),
+        ),
+        StoreRequest::Extend(lease) => (
+            Method::POST,
+            format!("/grants/{lease}/extend"),
+            Some(b"{}".to_vec()),
+        ),
+        StoreRequest::Changes { prefix, from } => (
+            Method::GET,
+            format!("/follow?prefix={prefix}&from={from}&holdMs=0"),
+            None,
+        ),
+    };
+    let mut tries = 0;
+    loop {
+        let outcome = http
+            .call(method.clone(), &path, body.clone(), TIMEOUT)
+            .await;
+        return match outcome {
+            Ok((200, body)) => read(&request, &body),
+            Ok((404, _)) => StoreReply::Missing,
+            Ok((409, body)) => match serde_json::from_slice::<Revision>(&body) {
+                Ok(revision) => StoreReply::Conflict(revision.failed),
+                Err(_) => StoreReply::Unknown,
+            },
+            Ok((410, _)) => StoreReply::TooOld,
+            Ok((429, _)) if tries < 3 => {
+                tries += 1;
+                tokio::time::sleep(Duration::from_millis(150 * tries)).await;
+                continue;
+            }
+            Ok((400, body)) => StoreReply::Bad(String::from_utf8_lossy(&body).into_owned()),
+            Ok((429 | 503, _)) | Err(NoAnswer::NotSent) => StoreReply::Refused,
+            Ok(_) | Err(NoAnswer::Unknown) if write => StoreReply::Unknown,
+            Ok(_) | Err(NoAnswer::Unknown) => StoreReply::Refused,
+        };
+    }
+}
+
+fn read(request: &StoreRequest, body: &[u8]) -> StoreReply {
+    fn parse<T: DeserializeOwned>(body: &[u8], make: impl FnOnce(T) -> StoreReply) -> StoreReply {
+        match serde_json::from_slice(body) {
+            Ok(value) => make(value),
+            Err(error) => {
+                tracing::error!(%error, "unreadable answer of the state service");
+                StoreReply::Unknown
+            }
+        }
+    }
+    match request {
+        StoreRequest::Get(_) => parse::<Item>(body, StoreReply::Item),
+        StoreRequest::List { .. } => parse::<Page>(body, StoreReply::Page),
+        StoreRequest::Txn(_) => parse::<Revision>(body, |r| StoreReply::Committed(r.revision)),
+        StoreRequest::Grant { .. } => parse::<Granted>(body, |g| StoreReply::Granted(g.lease)),
+        StoreRequest::Extend(_) => StoreReply::Extended,
+        StoreRequest::Changes { .. } => parse::<Events>(body, StoreReply::Events),
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-control/src/config.rs
@@ -0,0 +1,60 @@
+//! What a controller is told at its start, from the platform's settings and the operator's.
+
+use cleatfold_wire::{NodeId, TeamId, ZoneId};
+
+#[derive(Clone, Debug)]
+pub struct Team {
+    pub name: TeamId,
+    /// Guaranteed; 0: none.
+    pub cpus: f64,
+    pub gpus: f64,
+    /// Never more than this; 0: no limit.
+    pub cpus_max: f64,
+    pub gpus_max: f64,
+}
+
+impl Team {
+    pub fn is_limited(&self) -> bool {
+        self.cpus_max > 0.0 || self.gpus_max > 0.0
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub me: NodeId,
+    pub zone: ZoneId,
+    pub peers: Vec<(NodeId, ZoneId)>,
+    pub teams: Vec<Team>,
+    pub report_ms: u64,
+    pub lease_ms: u64,
+    pub cancel_ms: u64,
+    pub txn_ops: usize,
+    pub value_bytes: usize,
+    pub list_lag_ms: u64,
+    /// Pools that a job is sent to.
+    pub k: usize,
+    /// Time between readings of the state service when nothing presses.
+    pub sync_ms: u64,
+    pub node_ttl_ms: u64,
+    /// Renting aims at having the queue's work done within this time.
+    pub drain_target_s: f64,
+    /// A machine with nothing to do for this long is returned.
+    pub idle_return_s: f64,
+}
+
+impl Config {
+    pub fn team(&self, name: &TeamId) -> Option<&Team> {
+        self.teams.iter().find(|t| t.name == *name)
+    }
+
+    /// After so long without the state service an owner stops answering workers. A job may
+    /// have been cancelled elsewhere right after our last reading; the workers' lease must
+    /// have run out before `cancel_s` has. The margin covers 0.05% of clock drift on either
+    /// side, the answer that was on its way, and late timers.
+    pub fn deaf_limit_ms(&self) -> u64 {
+        let drift = self.cancel_ms / 1000;
+        self.cancel_ms
+            .saturating_sub(self.lease_ms)
+            .saturating_sub(2000 + drift)
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-control/src/effects.rs
@@ -0,0 +1,154 @@
+//! What goes into a node and what comes out.
+
+use cleatfold_wire::cloud::{ListedMachine, MachineType, RentRequest};
+use cleatfold_wire::job::{JobSpec, JobStatus};
+use cleatfold_wire::mesh::Message;
+use cleatfold_wire::store::{Events, Item, Page, Txn};
+use cleatfold_wire::worker::{Report, ReportReply};
+use cleatfold_wire::*;
+
+/// What a user asks.
+#[derive(Clone, Debug)]
+pub enum Request {
+    Submit(Box<JobSpec>),
+    Poll(JobId),
+    Withdraw(JobId),
+    Ready,
+}
+
+#[derive(Debug)]
+pub enum Event {
+    Tick,
+    Request { rid: u64, request: Request },
+    Report { rid: u64, report: Report },
+    Store { op: u64, reply: StoreReply },
+    Cloud { op: u64, reply: CloudReply },
+    Mesh { from: NodeId, message: Message },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Response {
+    Status {
+        code: u16,
+        status: JobStatus,
+    },
+    Refusal {
+        code: u16,
+        why: String,
+        retry_after_s: Option<u32>,
+    },
+    Ready,
+    Worker(ReportReply),
+    /// 421; the worker should report there, or just elsewhere.
+    Redirect(Option<NodeId>),
+}
+
+impl Response {
+    pub fn later(why: &str) -> Self {
+        Response::Refusal {
+            code: 503,
+            why: why.into(),
+            retry_after_s: Some(2),
+        }
+    }
+    pub fn refuse(code: u16, why: impl Into<String>) -> Self {
+        Response::Refusal {
+            code,
+            why: why.into(),
+            retry_after_s: None,
+        }
+    }
+}
+
+/// Which calls to the state service go first when the rate is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lane {
+    Renewal,
+    Claim,
+    Submission,
+    Poll,
+}
+
+#[derive(Clone, Debug)]
+pub enum StoreRequest {
+    Get(String),
+    List {
+        prefix: String,
+        from: Option<String>,
+    },
+    Txn(Txn),
+    Grant {
+        ttl_ms: u64,
+    },
+    Extend(LeaseId),
+    /// Everything since `from`, at once.
+    Changes {
+        prefix: String,
+        from: Version,
+    },
+}
+
+#[derive(Debug)]
+pub enum StoreReply {
+    Item(Item),
+    /// No such key, or no such lease.
+    Missing,
+    Page(Page),
+    Committed(Version),
+    Conflict(Vec<String>),
+    Granted(LeaseId),
+    Extended,
+    Events(Events),
+    /// The watch's start is too old.
+    TooOld,
+    /// Certainly not executed.
+    Refused,
+    /// Perhaps executed, perhaps later.
+    Unknown,
+    /// The request itself is wrong.
+    Bad(String),
+}
+
+#[derive(Clone, Debug)]
+pub enum CloudRequest {
+    Types,
+    List { from: Option<MachineId> },
+    Rent(RentRequest),
+    Delete(Vec<MachineId>),
+}
+
+#[derive(Debug)]
+pub enum CloudReply {
+    Types(Vec<MachineType>),
+    List {
+        machines: Vec<ListedMachine>,
+        more: bool,
+    },
+    Rented(Vec<MachineId>),
+    NoCapacity,
+    Deleted,
+    /// Outage, too many requests, or no answer.
+    Failed,
+}
+
+#[derive(Debug)]
+pub enum Effect {
+    Reply {
+        rid: u64,
+        response: Response,
+    },
+    Store {
+        op: u64,
+        lane: Lane,
+        request: StoreRequest,
+    },
+    Cloud {
+        op: u64,
+        request: CloudRequest,
+    },
+    /// To one peer, or to all.
+    Mesh {
+        to: Option<NodeId>,
+        message: Message,
+    },
+}
--- /dev/null
+++ b/crates/cleatfold-control/src/fleet.rs
@@ -0,0 +1,138 @@
+//! Machines as their reports and the cloud's list tell of them.
+
+use cleatfold_plan::Resources;
+use cleatfold_wire::cloud::{MachineState, MachineType};
+use cleatfold_wire::worker::TaskReport;
+use cleatfold_wire::*;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+
+#[derive(Clone, Debug)]
+pub struct LastReport {
+    pub session: Session,
+    pub seq: Seq,
+    /// The highest token the worker had seen when it sent it.
+    pub token: Token,
+    pub at: Ms,
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub pool: PoolId,
+    pub spot: bool,
+    pub listed: Option<MachineState>,
+    pub listed_at: Ms,
+    /// When it was rented, by the list's age.
+    pub born: Ms,
+    pub report: Option<LastReport>,
+    /// When we last answered a report of it with 200, and under which token.
+    pub answered: Option<(Ms, Token)>,
+    /// When the cloud takes it away.
+    pub notice: Option<Ms>,
+    /// Images it holds, the most recently used last.
+    pub images: VecDeque<(ImageId, f64)>,
+    /// When tasks were first seen running.
+    pub started: HashMap<(JobId, TaskIx), Ms>,
+    /// Jobs that failed here.
+    pub failed_jobs: HashSet<JobId>,
+    pub failed_at: Ms,
+    /// Being emptied to be returned.
+    pub draining: bool,
+    pub deleting: bool,
+    pub idle_since: Option<Ms>,
+    /// First known of.
+    pub known: Ms,
+}
+
+impl Machine {
+    pub fn new(pool: PoolId, spot: bool, now: Ms) -> Self {
+        Self {
+            pool,
+            spot,
+            listed: None,
+            listed_at: now,
+            born: now,
+            report: None,
+            answered: None,
+            notice: None,
+            images: VecDeque::new(),
+            started: HashMap::new(),
+            failed_jobs: HashSet::new(),
+            failed_at: Ms(0),
+            draining: false,
+            deleting: false,
+            idle_since: None,
+            known: now,
+        }
+    }
+
+    pub fn heard(&self) -> Option<Ms> {
+        self.report.as_ref().map(|r| r.at)
+    }
+
+    /// Notes the use of an image and forgets the least recently used beyond the cache.
+    pub fn use_image(&mut self, image: &ImageId, gb: f64, cache_gb: f64) {
+        if self.images.back().is_some_and(|i| i.0 == *image) {
+            return;
+        }
+        self.images.retain(|i| i.0 != *image);
+        self.images.push_back((image.clone(), gb));
+        let mut total: f64 = self.images.iter().map(|i| i.1).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.pop_front().map_or(0.0, |i| i.1);
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub types: BTreeMap<TypeId, MachineType>,
+    pub machines: BTreeMap<MachineId, Machine>,
+    /// Deleted with proof; late news about them is ignored.
+    deleted: HashSet<MachineId>,
+    deleted_order: VecDeque<MachineId>,
+}
+
+impl Fleet {
+    pub fn total(&self, machine_type: &TypeId) -> Resources {
+        self.types
+            .get(machine_type)
+            .map(|t| Resources::new(t.cpus, t.gpus, t.memory_gb))
+            .unwrap_or_default()
+    }
+
+    pub fn pools(&self) -> Vec<PoolId> {
+        self.types
+            .values()
+            .flat_map(|t| {
+                t.zones.iter().map(|z| PoolId {
+                    machine_type: t.name.clone(),
+                    zone: z.clone(),
+                })
+            })
+            .collect()
+    }
+
+    pub fn is_deleted(&self, id: &MachineId) -> bool {
+        self.deleted.contains(id)
+    }
+
+    pub fn note_deleted(&mut self, id: &MachineId) {
+        self.machines.remove(id);
+        if self.deleted.insert(id.clone()) {
+            self.deleted_order.push_back(id.clone());
+        }
+        while self.deleted_order.len() > 2000 {
+            if let Some(old) = self.deleted_order.pop_front() {
+                self.deleted.remove(&old);
+            }
+        }
+    }
+
+    pub fn in_pool<'a>(
+        &'a self,
+        pool: &'a PoolId,
+    ) -> impl Iterator<Item = (&'a MachineId, &'a Machine)> {
+        self.machines.iter().filter(move |(_, m)| m.pool == *pool)
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -0,0 +1,536 @@
+//! Changes to a job's records: ends, claims and cancellation, each one guarded transaction.
+//!
+//! One transaction per job is under way at a time. An unknown outcome is met by sending the
+//! very same transaction again: if it was executed, its guards fail now, and the next reading
+//! shows what stands. Until then nothing is built on it.
+
+use crate::effects::*;
+use crate::node::{Node, Pending};
+use crate::records::*;
+use cleatfold_wire::job::JobState;
+use cleatfold_wire::mesh::Message;
+use cleatfold_wire::store::Txn;
+use cleatfold_wire::worker::Exit;
+use cleatfold_wire::*;
+use std::collections::{BTreeMap, HashSet};
+
+/// A claim that is over, with proof.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct End {
+    pub machine: MachineId,
+    pub ix: TaskIx,
+    pub attempt: Attempt,
+    pub done: bool,
+    pub why: &'static str,
+}
+
+/// Tasks to be claimed for one machine.
+#[derive(Clone, Debug)]
+pub(crate) struct Wish {
+    pub machine: MachineId,
+    pub pool: PoolId,
+    pub token: Token,
+    pub tasks: u32,
+}
+
+/// What this node keeps about a job beside its record.
+#[derive(Debug, Default)]
+pub(crate) struct Local {
+    pub busy: bool,
+    /// Someone else changed it; nothing is sent before the next reading.
+    pub stale_since: Option<Ms>,
+    pub not_before: Ms,
+    pub ends: Vec<End>,
+    pub wishes: Vec<Wish>,
+    pub abort: bool,
+    pub withdrawals: Vec<u64>,
+    pub failures: u32,
+    pub hold_until: Ms,
+    /// Pools that the leader sent it to.
+    pub pools: Vec<PoolId>,
+    pub last_why: Option<String>,
+    /// Progress that is saved, per task, in milliseconds of run time.
+    pub saved: BTreeMap<TaskIx, u64>,
+}
+
+#[derive(Debug)]
+pub(crate) struct JobTx {
+    pub job: JobId,
+    pub txn: Txn,
+    /// The outcome of an earlier sending is unknown.
+    pub doubtful: bool,
+    ends: Vec<End>,
+    claims: Vec<(Wish, Vec<(TaskIx, Attempt)>)>,
+    withdrawals: Vec<u64>,
+    result: Outcome,
+    parts: Vec<(u32, Option<Table>)>,
+}
+
+#[derive(Debug)]
+enum Outcome {
+    Live(Box<JobRecord>),
+    Ended(ArchiveRecord),
+}
+
+fn part_of(record: &JobRecord, ix: TaskIx) -> Option<u32> {
+    record.in_parts().then_some(ix.0 / PART)
+}
+
+impl Node {
+    pub(crate) fn local(&mut self, job: &JobId) -> &mut Local {
+        let now = self.now;
+        self.locals
+            .entry(job.clone())
+            .or_insert_with(|| Local::default())
+    }
+
+    /// The job left the live records: answer who waits by the archive.
+    pub(crate) fn drop_local(&mut self, job: &JobId) {
+        let Some(local) = self.locals.get_mut(job) else {
+            return;
+        };
+        let rids = std::mem::take(&mut local.withdrawals);
+        if !local.busy {
+            self.locals.remove(job);
+        }
+        for rid in rids {
+            self.wait(rid, job.clone(), crate::node::Wait::Withdraw);
+        }
+    }
+
+    pub(crate) fn end(&mut self, job: &JobId, end: End) {
+        let local = self.local(job);
+        if !local
+            .ends
+            .iter()
+            .any(|e| e.ix == end.ix && e.attempt == end.attempt)
+        {
+            local.ends.push(end);
+        }
+    }
+
+    /// Sends whatever is due.
+    pub(crate) fn flush(&mut self) {
+        self.flush_submissions();
+        if !self.loaded {
+            return;
+        }
+        let due: Vec<JobId> = self
+            .locals
+            .iter()
+            .filter(|(_, l)| {
+                !l.busy
+                    && l.stale_since.is_none()
+                    && l.not_before <= self.now
+                    && (!l.ends.is_empty() || !l.wishes.is_empty() || l.abort)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for job in due {
+            self.send_job_tx(job);
+        }
+    }
+
+    fn send_job_tx(&mut self, job: JobId) {
+        let Some(tx) = self.build(&job) else { return };
+        let Some(local) = self.locals.get_mut(&job) else {
+            return;
+        };
+        local.busy = true;
+        let txn = tx.txn.clone();
+        self.store(
+            Lane::Claim,
+            StoreRequest::Txn(txn),
+            Pending::Job(Box::new(tx)),
+        );
+    }
+
+    fn build(&mut self, job: &JobId) -> Option<JobTx> {
+        let local = self.locals.get_mut(job)?;
+        let wishes = std::mem::take(&mut local.wishes);
+        let Some(live) = self.mirror.jobs.get(job) else {
+            // Gone meanwhile: what it still wanted is moot.
+            local.ends.clear();
+            local.abort = false;
+            return None;
+        };
+        let mut record = (*live).record.clone();
+        let parts = self.mirror.parts.get(job);
+        let mut touched: BTreeMap<u32, Table> = BTreeMap::new();
+        let mut txn = Txn::default();
+        txn.guard(job_key(job), live.version);
+        let mut head_changed = false;
+        let (mut done, mut claimed) = (live.done, live.claimed);
+        // Each touched part is one change; the head, the archive and a part's end need some.
+        let room = self.cfg.txn_ops.saturating_sub(4).max(1);
+
+        fn table_of<'a>(
+            record: &'a mut JobRecord,
+            touched: &'a mut BTreeMap<u32, Table>,
+            parts: Option<&crate::mirror::PartMap>,
+            part: Option<u32>,
+        ) -> &'a mut Table {
+            match part {
+                None => &mut record.table,
+                Some(part) => touched.entry(part).or_insert_with(|| {
+                    parts
+                        .and_then(|p| p.get(&part))
+                        .map(|p| p.1.clone())
+                        .unwrap_or_default()
+                }),
+            }
+        }
+
+        let mut ended = Vec::new();
+        let mut void = Vec::new();
+        for end in &local.ends {
+            let part = part_of(&record, end.ix);
+            if part.is_some_and(|p| !touched.contains_key(&p)) && touched.len() >= room {
+                continue;
+            }
+            let table = table_of(&mut record, &mut touched, parts, part);
+            if table.end(&end.machine, end.ix, end.attempt, end.done) {
+                head_changed |= part.is_none();
+                claimed -= 1;
+                done += u32::from(end.done);
+                ended.push(end.clone());
+            } else {
+                void.push(end.clone());
+            }
+        }
+        // What no longer stands in the record was settled by someone else.
+        local.ends.retain(|e| !void.contains(e));
+
+        let mut claims = Vec::new();
+        if !record.aborted && !local.abort {
+            let tasks = record.spec.tasks;
+            let half = tasks.div_ceil(2);
+            let mut by_zone: BTreeMap<ZoneId, u32> = BTreeMap::new();
+            if record.spec.spread {
+                for table in self.mirror.tables(job) {
+                    for group in &table.claims {
+                        if let Some(pool) = PoolId::parse(&group.pool) {
+                            *by_zone.entry(pool.zone).or_default() += group.tasks.len() as u32;
+                        }
+                    }
+                }
+            }
+            for wish in wishes {
+                if self.owned_since.get(&wish.pool).map(|o| o.0) != Some(wish.token) {
+                    continue;
+                }
+                let zone = &wish.pool.zone;
+                if record.spec.one_zone {
+                    if record.zone.as_ref().is_some_and(|z| z != zone) {
+                        continue;
+                    }
+                    if record.zone.is_none() {
+                        record.zone = Some(zone.clone());
+                        head_changed = true;
+                    }
+                }
+                let mut want = wish.tasks;
+                if record.spec.spread {
+                    let here = by_zone.entry(zone.clone()).or_default();
+                    want = want.min(half.saturating_sub(*here));
+                    *here += want;
+                }
+                let pool = wish.pool.to_string();
+                let mut made = Vec::new();
+                if record.in_parts() {
+                    for part in 0..record.part_count() {
+                        if made.len() as u32 >= want {
+                            break;
+                        }
+                        if record.parts_done.contains(&part)
+                            || (!touched.contains_key(&part) && touched.len() >= room)
+                        {
+                            continue;
+                        }
+                        let (from, to) = record.part_range(part);
+                        let known = parts.and_then(|p| p.get(&part)).map(|p| &p.1);
+                        let current = touched.get(&part).or(known);
+                        let free = match current {
+                            Some(t) => t.free(from, to),
+                            None => (from..to).map(TaskIx).collect(),
+                        };
+                        if free.is_empty() {
+                            continue;
+                        }
+                        let table = table_of(&mut record, &mut touched, parts, Some(part));
+                        for ix in free.into_iter().take((want as usize) - made.len()) {
+                            made.push((ix, table.claim(&wish.machine, wish.token, &pool, ix)));
+                        }
+                    }
+                    // Guards of other claims of a spread or one-zone job must notice this one.
+                    head_changed |= record.spec.spread;
+                } else {
+                    let table = &mut record.table;
+                    for ix in table.free(0, tasks).into_iter().take(want as usize) {
+                        made.push((ix, table.claim(&wish.machine, wish.token, &pool, ix)));
+                    }
+                    head_changed |= !made.is_empty();
+                }
+                if !made.is_empty() {
+                    claimed += made.len() as u32;
+                    let key = pool_key(&wish.pool);
+                    if !txn.guards.iter().any(|g| g.key == key) {
+                        txn.guard(key, Version(wish.token.0));
+                    }
+                    claims.push((wish, made));
+                }
+            }
+        }
+        if local.abort && !record.aborted && done < record.spec.tasks {
+            record.aborted = true;
+            head_changed = true;
+        }
+        let finished = done >= record.spec.tasks && !record.aborted;
+        let over = finished || (record.aborted && claimed == 0);
+        let mut part_results = Vec::new();
+        for (part, table) in touched {
+            let version = parts
+                .and_then(|p| p.get(&part))
+                .map(|p| p.0)
+                .unwrap_or_default();
+            txn.guard(part_key(job, part), version);
+            let (from, to) = record.part_range(part);
+            if table.done_count() == to - from {
+                record.parts_done.push(part);
+                head_changed = true;
+                if version > Version(0) {
+                    txn.delete(part_key(job, part));
+                }
+                part_results.push((part, None));
+            } else {
+                txn.put(part_key(job, part), &table, None);
+                part_results.push((part, Some(table)));
+            }
+        }
+        let withdrawals = if local.abort {
+            std::mem::take(&mut local.withdrawals)
+        } else {
+            vec![]
+        };
+        let result = if over {
+            let state = if finished {
+                JobState::Done
+            } else {
+                JobState::Aborted
+            };
+            let archive = ArchiveRecord {
+                state,
+                done,
+                team: record.spec.team.clone(),
+            };
+            txn.put(archive_key(job), &archive, None);
+            txn.delete(job_key(job));
+            Outcome::Ended(archive)
+        } else {
+            if !head_changed && txn.changes.is_empty() {
+                // Nothing left to say (an abort of an aborted job, an end that was settled).
+                local.abort = false;
+                let state = if record.aborted {
+                    JobState::Aborted
+                } else {
+                    JobState::Queued
+                };
+                let body = status(job, state, done, claimed);
+                for rid in withdrawals {
+                    self.out.push(Effect::Reply {
+                        rid,
+                        response: Response::Status {
+                            code: 200,
+                            status: body.clone(),
+                        },
+                    });
+                }
+                return None;
+            }
+            if head_changed {
+                txn.put(job_key(job), &record, None);
+            }
+            Outcome::Live(Box::new(record))
+        };
+        Some(JobTx {
+            job: job.clone(),
+            txn,
+            doubtful: false,
+            ends: ended,
+            claims,
+            withdrawals,
+            result,
+            parts: part_results,
+        })
+    }
+
+    pub(crate) fn on_job_tx(&mut self, op: u64, mut tx: JobTx, reply: StoreReply) {
+        match reply {
+            StoreReply::Committed(version) => self.on_job_committed(tx, version),
+            StoreReply::Unknown => {
+                tx.doubtful = true;
+                let txn = tx.txn.clone();
+                self.again(op, Lane::Claim, txn, Pending::Job(Box::new(tx)), 200);
+            }
+            // Not executed this time, but an earlier sending may yet be.
+            StoreReply::Refused if tx.doubtful => {
+                let txn = tx.txn.clone();
+                self.again(op, Lane::Claim, txn, Pending::Job(Box::new(tx)), 500);
+            }
+            reply => {
+                let conflict = matches!(reply, StoreReply::Conflict(_));
+                let now = self.now;
+                if conflict {
+                    tracing::debug!(job = %tx.job, "conflict");
+                    self.want_sync = true;
+                    if tx.doubtful {
+                        // It may have been executed after all: its claims count against the
+                        // team's limit, but only the next reading shows them.
+                        self.limits_blind = Some(now);
+                    }
+                }
+                let contact = self.in_contact();
+                let local = self.local(&tx.job);
+                local.busy = false;
+                if conflict {
+                    local.stale_since = Some(now);
+                } else {
+                    local.not_before = now.plus(500);
+                }
+                if !tx.withdrawals.is_empty() {
+                    if conflict || contact {
+                        local.withdrawals.append(&mut tx.withdrawals);
+                    } else {
+                        // The state service is away: say so now; the user comes back.
+                        local.abort = false;
+                    }
+                }
+                for rid in tx.withdrawals {
+                    self.reply(rid, Response::later("the state service does not answer"));
+                }
+                if !self.mirror.jobs.contains_key(&tx.job) {
+                    self.drop_local(&tx.job);
+                }
+                self.dirty = true;
+            }
+        }
+    }
+
+    fn on_job_committed(&mut self, tx: JobTx, version: Version) {
+        let job = tx.job;
+        for end in &tx.ends {
+            tracing::info!(
+                job = %job, task = end.ix.0, attempt = end.attempt.0, machine = %end.machine,
+                why = end.why, "task ended"
+            );
+        }
+        for (wish, tasks) in &tx.claims {
+            tracing::info!(
+                job = %job, tasks = tasks.len(), machine = %wish.machine, pool = %wish.pool,
+                token = wish.token.0, "claimed"
+            );
+        }
+        for (part, table) in tx.parts {
+            let current = self
+                .mirror
+                .parts
+                .get(&job)
+                .and_then(|p| p.get(&part))
+                .map(|p| p.0);
+            match table {
+                Some(table) if current.unwrap_or_default() < version => {
+                    self.mirror.install_part(job.clone(), part, table, version)
+                }
+                None => self.mirror.remove(&part_key(&job, part), version),
+                _ => {}
+            }
+        }
+        let current = self.mirror.jobs.get(&job).map(|j| j.version);
+        let mut state = JobState::Aborted;
+        let (mut done, mut claimed) = (0, 0);
+        match tx.result {
+            Outcome::Live(record) => {
+                if !record.aborted {
+                    state = JobState::Running;
+                }
+                let head = tx
+                    .txn
+                    .changes
+                    .iter()
+                    .any(|c| c.put.as_deref() == Some(&job_key(&job)));
+                if head && current.is_some_and(|c| c < version) {
+                    self.mirror.install_job(job.clone(), *record, version);
+                }
+                if let Some(live) = self.mirror.jobs.get(&job) {
+                    (done, claimed) = (live.done, live.claimed);
+                }
+            }
+            Outcome::Ended(archive) => {
+                tracing::info!(job = %job, state = ?archive.state, "job ended");
+                state = archive.state;
+                done = archive.done;
+                self.terminal.insert(job.clone(), archive);
+                self.mirror.remove(&job_key(&job), version);
+            }
+        }
+        let body = status(&job, state, done, claimed);
+        for rid in tx.withdrawals {
+            self.reply(
+                rid,
+                Response::Status {
+                    code: 200,
+                    status: body.clone(),
+                },
+            );
+        }
+        let gone = !self.mirror.jobs.contains_key(&job);
+        let local = self.local(&job);
+        local.busy = false;
+        let over: HashSet<(TaskIx, Attempt)> = tx.ends.iter().map(|e| (e.ix, e.attempt)).collect();
+        local.ends.retain(|e| !over.contains(&(e.ix, e.attempt)));
+        if state == JobState::Aborted {
+            local.abort = false;
+        }
+        if gone {
+            self.drop_local(&job);
+        }
+        for other in std::mem::take(&mut self.mirror.gone) {
+            self.drop_local(&other);
+        }
+        self.dirty = true;
+        self.tell(None, Message::Changed);
+    }
+
+    /// A worker's exit as an end of the claim.
+    pub(crate) fn exit_end(machine: &MachineId, ix: TaskIx, attempt: Attempt, exit: Exit) -> End {
+        let why = match exit {
+            Exit::Done => "done",
+            Exit::Stopped => "stopped",
+            Exit::Error => "error",
+            Exit::NoRoom => "no room",
+            Exit::Busy => "busy",
+            Exit::Unknown => "unknown job",
+            Exit::Other => "other",
+        };
+        End {
+            machine: machine.clone(),
+            ix,
+            attempt,
+            done: exit == Exit::Done,
+            why,
+        }
+    }
+}
+
+impl JobTx {
+    /// The claims this transaction would make: pool and number of tasks.
+    pub(crate) fn claimed(&self) -> impl Iterator<Item = (String, u32)> + '_ {
+        self.claims
+            .iter()
+            .map(|(wish, tasks)| (wish.pool.to_string(), tasks.len() as u32))
+    }
+
+    pub(crate) fn names(&self, machine: &MachineId) -> bool {
+        self.claims.iter().any(|(wish, _)| wish.machine == *machine)
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-control/src/leader.rs
@@ -0,0 +1,907 @@
+//! Leadership, the dealing of pools, sending jobs to pools, limits' slices, and the cloud.
+//!
+//! Being leader is a hint: two leaders at once do no harm, since every change they make is
+//! guarded by the version of the key they change.
+
+use crate::effects::*;
+use crate::fleet::Machine;
+use crate::jobs::End;
+use crate::node::{Node, Pending};
+use crate::records::*;
+use cleatfold_plan::pools::{choose, Load};
+use cleatfold_plan::Resources;
+use cleatfold_wire::cloud::{ListedMachine, MachineState, RentRequest};
+use cleatfold_wire::job::Kind;
+use cleatfold_wire::mesh::Message;
+use cleatfold_wire::store::Txn;
+use cleatfold_wire::*;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// A pool that changed hands is left where it is for so long.
+const SETTLE_MS: u64 = 10_000;
+
+impl Node {
+    fn is_leader(&self) -> bool {
+        self.mirror
+            .leader
+            .as_ref()
+            .is_some_and(|(id, _)| *id == self.cfg.me)
+    }
+
+    pub(crate) fn lead(&mut self) {
+        if self.mirror.leader.is_none() && !self.leading_asked && self.in_contact() {
+            if let Some(lease) = self.lease {
+                self.leading_asked = true;
+                let mut txn = Txn::default();
+                txn.guard(LEADER, Version(0));
+                txn.put(LEADER, &self.cfg.me, Some(lease));
+                self.store(Lane::Renewal, StoreRequest::Txn(txn), Pending::Lead);
+            }
+        }
+        if !self.is_leader() {
+            self.leader_since = None;
+            return;
+        }
+        let since = *self.leader_since.get_or_insert_with(|| {
+            tracing::info!("leading");
+            self.now
+        });
+        if self.in_contact() {
+            self.deal(since);
+        }
+        if self.now.since(self.assigned_at) >= 500 {
+            self.assign();
+            self.rent();
+        }
+        self.clean_up();
+    }
+
+    // ---- dealing ----
+
+    fn live(&self, holding: &crate::mirror::Holding) -> bool {
+        self.mirror
+            .nodes
+            .get(&holding.owner)
+            .is_some_and(|n| n.0 == holding.incarnation)
+    }
+
+    fn deal(&mut self, since: Ms) {
+        if self.dealing.is_some() || self.mirror.nodes.is_empty() {
+            return;
+        }
+        // At the start of all, wait a little for the others rather than deal twice.
+        let everyone = self.cfg.peers.len() < self.mirror.nodes.len();
+        if !everyone && self.mirror.pools.is_empty() && self.now.since(since) < 1500 {
+            return;
+        }
+        let pools = self.fleet.pools();
+        let weight = |pool: &PoolId| 1.0 + self.fleet.in_pool(pool).count() as f64;
+        let mut held: BTreeMap<NodeId, f64> =
+            self.mirror.nodes.keys().map(|n| (n.clone(), 0.0)).collect();
+        let mut orphans = Vec::new();
+        for pool in &pools {
+            match self.mirror.pools.get(pool) {
+                Some(h) if self.live(h) => {
+                    *held.entry(h.owner.clone()).or_default() += weight(pool);
+                }
+                _ => orphans.push(pool.clone()),
+            }
+        }
+        let mut moves: Vec<(PoolId, NodeId)> = Vec::new();
+        orphans.sort_by(|a, b| weight(b).total_cmp(&weight(a)).then(a.cmp(b)));
+        let average = pools.iter().map(&weight).sum::<f64>() / held.len() as f64;
+        for pool in orphans {
+            let home = self.home_of(&pool.zone).filter(|n| {
+                held.get(n)
+                    .is_some_and(|h| *h + weight(&pool) <= average * 1.3 + 1.0)
+            });
+            let to = home.or_else(|| {
+                held.iter()
+                    .min_by(|a, b| a.1.total_cmp(b.1))
+                    .map(|(n, _)| n.clone())
+            });
+            if let Some(to) = to {
+                *held.entry(to.clone()).or_default() += weight(&pool);
+                moves.push((pool, to));
+            }
+        }
+        if moves.is_empty() {
+            moves.extend(self.balance(&pools, &held, &weight));
+        }
+        moves.truncate(self.cfg.txn_ops);
+        self.send_deal(moves);
+    }
+
+    /// The live node of a zone.
+    fn home_of(&self, zone: &ZoneId) -> Option<NodeId> {
+        std::iter::once((&self.cfg.me, &self.cfg.zone))
+            .chain(self.cfg.peers.iter().map(|(n, z)| (n, z)))
+            .find(|(n, z)| *z == zone && self.mirror.nodes.contains_key(*n))
+            .map(|(n, _)| n.clone())
+    }
+
+    /// One pool from the fullest node to the emptiest, where that evens them out.
+    fn balance(
+        &self,
+        pools: &[PoolId],
+        held: &BTreeMap<NodeId, f64>,
+        weight: &impl Fn(&PoolId) -> f64,
+    ) -> Option<(PoolId, NodeId)> {
+        let most = held.iter().max_by(|a, b| a.1.total_cmp(b.1))?;
+        let least = held.iter().min_by(|a, b| a.1.total_cmp(b.1))?;
+        let gap = most.1 - least.1;
+        pools
+            .iter()
+            .filter(|p| {
+                self.mirror
+                    .pools
+                    .get(*p)
+                    .is_some_and(|h| h.owner == *most.0)
+            })
+            .filter(|p| {
+                self.dealt
+                    .get(*p)
+                    .is_none_or(|at| self.now.since(*at) > SETTLE_MS)
+                    && weight(p) < gap * 0.75
+            })
+            .max_by(|a, b| weight(a).total_cmp(&weight(b)).then(b.cmp(a)))
+            .map(|p| (p.clone(), least.0.clone()))
+    }
+
+    fn send_deal(&mut self, moves: Vec<(PoolId, NodeId)>) {
+        let mut txn = Txn::default();
+        for (pool, node) in moves {
+            let Some((incarnation, _)) = self.mirror.nodes.get(&node).copied() else {
+                continue;
+            };
+            let version = self
+                .mirror
+                .pools
+                .get(&pool)
+                .map(|h| Version(h.token.0))
+                .unwrap_or_default();
+            tracing::info!(%pool, %node, "dealing");
+            txn.guard(pool_key(&pool), version);
+            txn.put(
+                pool_key(&pool),
+                &PoolRecord {
+                    owner: node,
+                    incarnation,
+                },
+                None,
+            );
+            self.dealt.insert(pool, self.now);
+        }
+        if txn.changes.is_empty() {
+            return;
+        }
+        let op = self.store(Lane::Renewal, StoreRequest::Txn(txn), Pending::Deal);
+        self.dealing = Some(op);
+    }
+
+    /// Workers of a pool come here since they cannot reach its owner: take it.
+    pub(crate) fn take_over(&mut self, pool: PoolId) {
+        let recent = self
+            .dealt
+            .get(&pool)
+            .is_some_and(|at| self.now.since(*at) < SETTLE_MS);
+        if recent || self.dealing.is_some() || !self.in_contact() {
+            return;
+        }
+        let me = self.cfg.me.clone();
+        self.send_deal(vec![(pool, me)]);
+    }
+
+    // ---- sending jobs to pools ----
+
+    /// Sends each job of the queue to the K least loaded pools that can hold it.
+    fn assign(&mut self) {
+        self.assigned_at = self.now;
+        let pools = self.fleet.pools();
+        let index: HashMap<&PoolId, usize> =
+            pools.iter().enumerate().map(|(i, p)| (p, i)).collect();
+        let mut loads = vec![
+            Load {
+                work: 0.0,
+                processors: 0.0
+            };
+            pools.len()
+        ];
+        for m in self.fleet.machines.values() {
+            if m.draining || m.deleting || m.notice.is_some() {
+                continue;
+            }
+            if let Some(&i) = index.get(&m.pool) {
+                loads[i].processors += self.fleet.total(&m.pool.machine_type).cpus as f64 / 1000.0;
+            }
+        }
+        for (id, live) in &self.mirror.jobs {
+            for group in self.mirror.tables(id).flat_map(|t| &t.claims) {
+                let Some(&i) = PoolId::parse(&group.pool)
+                    .as_ref()
+                    .and_then(|p| index.get(p))
+                else {
+                    continue;
+                };
+                let spec = &live.record.spec;
+                loads[i].work += 0.5 * spec.estimate_s * spec.cpus * group.tasks.len() as f64;
+            }
+        }
+        let queue = self.queue();
+        let mut assigned: Vec<(String, Vec<u16>)> = Vec::new();
+        for (id, unclaimed) in &queue {
+            let Some(live) = self.mirror.jobs.get(id) else {
+                continue;
+            };
+            let eligible: Vec<usize> = (0..pools.len())
+                .filter(|&i| self.may_use(live, &pools[i]))
+                .collect();
+            let current: Vec<usize> = self
+                .locals
+                .get(id)
+                .into_iter()
+                .flat_map(|l| l.pools.iter().filter_map(|p| index.get(p).copied()))
+                .collect();
+            let spec = &live.record.spec;
+            let work = spec.estimate_s.max(1.0) * spec.cpus * f64::from(*unclaimed);
+            // Replicas and spread jobs need more zones than one.
+            let k = if spec.kind == Kind::Service || spec.spread {
+                self.cfg.k.max(4)
+            } else {
+                self.cfg.k
+            };
+            let chosen = choose(&mut loads, &eligible, &current, k, work);
+            assigned.push((id.to_string(), chosen.iter().map(|&i| i as u16).collect()));
+        }
+        let names: Vec<String> = pools.iter().map(|p| p.to_string()).collect();
+        let me = self.cfg.me.clone();
+        self.tell(
+            None,
+            Message::Assign {
+                pools: names.clone(),
+                jobs: assigned.clone(),
+            },
+        );
+        self.on_assign(&me, names, assigned);
+    }
+
+    pub(crate) fn on_assign(
+        &mut self,
+        from: &NodeId,
+        pools: Vec<String>,
+        jobs: Vec<(String, Vec<u16>)>,
+    ) {
+        if self.mirror.leader.as_ref().map(|l| &l.0) != Some(from) {
+            return;
+        }
+        let pools: Vec<Option<PoolId>> = pools.iter().map(|p| PoolId::parse(p)).collect();
+        for (job, chosen) in jobs {
+            let job = JobId::new(job);
+            if !self.mirror.jobs.contains_key(&job) {
+                continue;
+            }
+            let chosen: Vec<PoolId> = chosen
+                .iter()
+                .filter_map(|&i| pools.get(i as usize).cloned().flatten())
+                .collect();
+            let local = self.local(&job);
+            if local.pools != chosen {
+                local.pools = chosen;
+                self.dirty = true;
+            }
+        }
+    }
+
+    // ---- renting ----
+
+    fn rent(&mut self) {
+        if self.rent_inflight > 1 || self.list_at.is_none() {
+            return;
+        }
+        let mut parallel = 0.0;
+        let mut work = 0.0;
+        let mut spot_work = 0.0;
+        for live in self.mirror.jobs.values().filter(|j| !j.record.aborted) {
+            let spec = &live.record.spec;
+            let tasks = f64::from(live.unclaimed()) + f64::from(live.claimed);
+            parallel += tasks * spec.cpus;
+            let run = if spec.kind == Kind::Service {
+                1e6
+            } else {
+                spec.estimate_s.max(1.0)
+            };
+            let w = (f64::from(live.unclaimed()) + 0.5 * f64::from(live.claimed)) * spec.cpus * run;
+            work += w;
+            if spec.spot {
+                spot_work += w;
+            }
+        }
+        let supply: f64 = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| !m.draining && !m.deleting && m.notice.is_none())
+            .map(|m| self.fleet.total(&m.pool.machine_type).cpus as f64 / 1000.0)
+            .sum();
+        let wanted = parallel.min(work / self.cfg.drain_target_s);
+        let deficit = wanted - supply;
+        if deficit <= 0.0 {
+            return;
+        }
+        let queue = self.queue();
+        let mut offers: Vec<(f64, PoolId, bool, f64)> = Vec::new();
+        for pool in self.fleet.pools() {
+            let Some(kind) = self.fleet.types.get(&pool.machine_type) else {
+                continue;
+            };
+            let useful = queue.iter().any(|(id, _)| {
+                self.mirror
+                    .jobs
+                    .get(id)
+                    .is_some_and(|live| self.may_use(live, &pool))
+            });
+            if !useful || kind.cpus <= 0.0 {
+                continue;
+            }
+            for spot in [true, false] {
+                if spot && spot_work < 0.6 * work {
+                    continue;
+                }
+                let blocked = self
+                    .refused
+                    .get(&(pool.clone(), spot))
+                    .is_some_and(|at| self.now.since(*at) < 20_000);
+                if blocked {
+                    continue;
+                }
+                let price = if spot { kind.spot_price } else { kind.price };
+                let rank = price / kind.cpus * (1.0 + kind.boot_s / 60.0);
+                offers.push((rank, pool.clone(), spot, kind.cpus));
+            }
+        }
+        offers.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let Some((_, pool, spot, cpus)) = offers.into_iter().next() else {
+            return;
+        };
+        let Some(incarnation) = self.incarnation else {
+            return;
+        };
+        let count = ((deficit / cpus).ceil() as u32).clamp(1, 8);
+        self.rent_count += 1;
+        let request = RentRequest {
+            request: format!("{}-{}-{}", self.cfg.me, incarnation, self.rent_count),
+            machine_type: pool.machine_type.clone(),
+            zone: pool.zone.clone(),
+            spot,
+            count,
+        };
+        tracing::info!(%pool, spot, count, wanted, supply, "renting");
+        self.rent_inflight += 1;
+        let pending = Pending::Rent {
+            request: request.clone(),
+            tries: 0,
+        };
+        self.cloud(CloudRequest::Rent(request), pending);
+    }
+
+    // ---- the cloud's answers ----
+
+    pub(crate) fn keep_cloud(&mut self) {
+        let types_due = self.types_at.is_none_or(|at| self.now.since(at) > 60_000);
+        if types_due && !self.types_asked {
+            self.types_asked = true;
+            self.cloud(CloudRequest::Types, Pending::Types);
+        }
+        let list_due = self.list_at.is_none_or(|at| self.now.since(at) > 4000);
+        if list_due && !self.list_asked && self.types_at.is_some() {
+            self.list_asked = true;
+            let sent = self.now;
+            self.list_acc.clear();
+            self.cloud(CloudRequest::List { from: None }, Pending::List { sent });
+        }
+    }
+
+    pub(crate) fn on_cloud(&mut self, op: u64, reply: CloudReply) {
+        match (self.ops.remove(&op), reply) {
+            (Some(Pending::Types), reply) => {
+                self.types_asked = false;
+                match reply {
+                    CloudReply::Types(types) => {
+                        self.fleet.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
+                        self.types_at = Some(self.now);
+                    }
+                    _ if self.types_at.is_some() => self.types_at = Some(self.now),
+                    _ => {}
+                }
+            }
+            (Some(Pending::List { sent }), CloudReply::List { machines, more }) => {
+                self.list_acc.extend(machines);
+                match self.list_acc.last().map(|m| m.id.clone()) {
+                    Some(last) if more => self.cloud(
+                        CloudRequest::List { from: Some(last) },
+                        Pending::List { sent },
+                    ),
+                    _ => {
+                        self.list_asked = false;
+                        self.list_at = Some(self.now);
+                        let list = std::mem::take(&mut self.list_acc);
+                        self.on_list(list);
+                    }
+                }
+            }
+            (Some(Pending::List { .. }), _) => {
+                self.list_asked = false;
+                self.list_at = self.list_at.map(|_| Ms(self.now.0.saturating_sub(2500)));
+            }
+            (Some(Pending::Rent { request, tries }), reply) => self.on_rent(request, tries, reply),
+            (Some(Pending::Delete { machines }), CloudReply::Deleted) => {
+                for id in machines {
+                    self.on_machine_gone(&id, "machine deleted");
+                    self.fleet.note_deleted(&id);
+                }
+                self.dirty = true;
+            }
+            (Some(Pending::Delete { machines }), _) => {
+                for id in machines {
+                    if let Some(m) = self.fleet.machines.get_mut(&id) {
+                        m.deleting = false;
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn on_rent(&mut self, request: RentRequest, tries: u32, reply: CloudReply) {
+        let pool = PoolId {
+            machine_type: request.machine_type.clone(),
+            zone: request.zone.clone(),
+        };
+        match reply {
+            CloudReply::Rented(machines) => {
+                self.rent_inflight -= 1;
+                if (machines.len() as u32) < request.count {
+                    self.refused.insert((pool.clone(), request.spot), self.now);
+                }
+                tracing::info!(%pool, spot = request.spot, ?machines, "rented");
+                for id in machines {
+                    let now = self.now;
+                    self.fleet
+                        .machines
+                        .entry(id)
+                        .or_insert_with(|| Machine::new(pool.clone(), request.spot, now));
+                }
+                self.dirty = true;
+            }
+            CloudReply::NoCapacity => {
+                self.rent_inflight -= 1;
+                self.refused.insert((pool, request.spot), self.now);
+            }
+            // The same name again rents nothing twice.
+            _ if tries < 3 => {
+                let pending = Pending::Rent {
+                    request: request.clone(),
+                    tries: tries + 1,
+                };
+                self.cloud(CloudRequest::Rent(request), pending);
+            }
+            _ => {
+                self.rent_inflight -= 1;
+                self.refused.insert((pool, request.spot), self.now);
+            }
+        }
+    }
+
+    fn on_list(&mut self, list: Vec<ListedMachine>) {
+        let now = self.now;
+        for listed in &list {
+            if self.fleet.is_deleted(&listed.id) {
+                continue;
+            }
+            let pool = PoolId {
+                machine_type: listed.machine_type.clone(),
+                zone: listed.zone.clone(),
+            };
+            let machine = self
+                .fleet
+                .machines
+                .entry(listed.id.clone())
+                .or_insert_with(|| {
+                    self.dirty = true;
+                    let mut m = Machine::new(pool.clone(), listed.spot, now);
+                    m.born = Ms(now.0.saturating_sub((listed.age_s * 1000.0) as u64));
+                    m
+                });
+            machine.listed_at = now;
+            // An old list must not take a reporting machine back to booting.
+            if machine.report.is_none() || listed.state == MachineState::Failed {
+                machine.listed = Some(listed.state);
+            }
+        }
+        let silent = 30_000 + 2 * self.cfg.list_lag_ms;
+        let claims = &self.mirror.claims;
+        self.fleet.machines.retain(|id, m| {
+            now.since(m.listed_at) < silent
+                || m.heard().is_some_and(|h| now.since(h) < silent)
+                || claims.contains_key(id)
+        });
+    }
+
+    /// All claims on a machine that is provably gone are over.
+    fn on_machine_gone(&mut self, id: &MachineId, why: &'static str) {
+        let claims = self.mirror.claims.get(id).cloned().unwrap_or_default();
+        tracing::info!(machine = %id, tasks = claims.len(), why, "machine gone");
+        for ((job, ix), claim) in claims {
+            let end = End {
+                machine: id.clone(),
+                ix,
+                attempt: claim.attempt,
+                done: false,
+                why,
+            };
+            self.end(&job, end);
+        }
+    }
+
+    // ---- our machines ----
+
+    pub(crate) fn watch_machines(&mut self) {
+        self.adopt_claimed_machines();
+        let now = self.now;
+        let silent_limit = 4 * self.cfg.report_ms + 2000;
+        let mut silent: Vec<(MachineId, u64)> = Vec::new();
+        let mut reporting = 0;
+        let mut delete: Vec<MachineId> = Vec::new();
+        let mut expired: Vec<MachineId> = Vec::new();
+        let mut turned_silent = false;
+        let idle_limit = (self.cfg.idle_return_s * 1000.0) as u64;
+        let queue_empty = self.mirror.jobs.values().all(|j| j.unclaimed() == 0);
+        let own: Vec<MachineId> = self
+            .fleet
+            .machines
+            .iter()
+            .filter(|(_, m)| !m.deleting && self.owned_since.contains_key(&m.pool))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in own {
+            let idle = self.is_idle(&id);
+            let Some(m) = self.fleet.machines.get_mut(&id) else {
+                continue;
+            };
+            let Some(&(token, since)) = self.owned_since.get(&m.pool) else {
+                continue;
+            };
+            let boot_ms = self
+                .fleet
+                .types
+                .get(&m.pool.machine_type)
+                .map_or(60_000.0, |t| t.boot_s * 1000.0);
+            if m.listed == Some(MachineState::Failed) {
+                delete.push(id);
+                continue;
+            }
+            match m.heard() {
+                None if !self.mirror.claims.contains_key(&id) => {
+                    // Booting, or never coming up.
+                    let age = now.since(m.born);
+                    if age > (boot_ms * 4.0) as u64 + 30_000 && now.since(since) > 30_000 {
+                        delete.push(id);
+                    }
+                    continue;
+                }
+                heard => {
+                    let base = heard.unwrap_or(m.known).max(m.known).max(since);
+                    let quiet = now.since(base);
+                    if quiet > silent_limit {
+                        // Its own lease: the last answer it can have had came from us, under
+                        // the token it has seen, so nobody else can have renewed it.
+                        let lease = self.cfg.lease_ms + self.cfg.lease_ms / 500 + 500;
+                        let seen = m.report.as_ref().is_some_and(|r| r.token == token);
+                        let answered = m
+                            .answered
+                            .is_some_and(|(at, t)| t == token && now.since(at) > lease);
+                        if seen && answered {
+                            expired.push(id.clone());
+                        }
+                        silent.push((id, quiet));
+                        turned_silent = true;
+                        continue;
+                    }
+                    reporting += 1;
+                }
+            }
+            if !idle {
+                m.idle_since = None;
+                continue;
+            }
+            let idle_since = *m.idle_since.get_or_insert(now);
+            let unused = now.since(idle_since) > idle_limit && queue_empty;
+            if m.draining || unused {
+                delete.push(id);
+            }
+        }
+        // Many at once is a cut, or us: deleting them would make it worse.
+        let cut = silent.len() > 2 && silent.len() * 2 > reporting;
+        for (id, quiet) in silent {
+            if !cut || quiet > self.cfg.lease_ms * 2 {
+                delete.push(id);
+            }
+        }
+        for id in expired {
+            // Claims made since are on no machine either: they were never ordered.
+            if self.mirror.claims.contains_key(&id) {
+                self.on_machine_gone(&id, "lease ran out");
+            }
+        }
+        if turned_silent {
+            self.dirty = true;
+        }
+        self.delete(delete);
+    }
+
+    fn delete(&mut self, ids: Vec<MachineId>) {
+        let mut batch = Vec::new();
+        for id in ids {
+            let promised = self
+                .locals
+                .values()
+                .any(|l| l.wishes.iter().any(|w| w.machine == id))
+                || self
+                    .ops
+                    .values()
+                    .any(|p| matches!(p, Pending::Job(tx) if tx.names(&id)));
+            if promised || batch.len() >= 100 {
+                continue;
+            }
+            if let Some(m) = self.fleet.machines.get_mut(&id) {
+                m.deleting = true;
+                m.draining = true;
+                batch.push(id);
+            }
+        }
+        if !batch.is_empty() {
+            tracing::info!(machines = ?batch, "deleting");
+            let pending = Pending::Delete {
+                machines: batch.clone(),
+            };
+            self.cloud(CloudRequest::Delete(batch), pending);
+        }
+    }
+
+    /// Machines that only their claims tell of: taken over from a former owner, or deleted.
+    fn adopt_claimed_machines(&mut self) {
+        let unknown: HashSet<MachineId> = self
+            .mirror
+            .claims
+            .keys()
+            .filter(|id| !self.fleet.machines.contains_key(*id))
+            .cloned()
+            .collect();
+        if unknown.is_empty() {
+            return;
+        }
+        let mut found: Vec<(MachineId, PoolId)> = Vec::new();
+        for id in self.mirror.jobs.keys() {
+            for group in self.mirror.tables(id).flat_map(|t| &t.claims) {
+                if unknown.contains(&group.machine) {
+                    if let Some(pool) = PoolId::parse(&group.pool) {
+                        found.push((group.machine.clone(), pool));
+                    }
+                }
+            }
+        }
+        for (id, pool) in found {
+            if self.fleet.is_deleted(&id) {
+                self.on_machine_gone(&id, "machine deleted");
+            } else {
+                let now = self.now;
+                self.fleet
+                    .machines
+                    .entry(id)
+                    .or_insert_with(|| Machine::new(pool, false, now));
+            }
+        }
+    }
+
+    // ---- slices of the teams' limits ----
+
+    /// Moves what our pools may use of limited teams' limits. Only a pool's owner changes the
+    /// pool's part, guarded by the pool's version; so the parts never add up to more than the
+    /// limit, and what a pool uses never exceeds its part.
+    pub(crate) fn keep_slices(&mut self) {
+        if self.now.since(self.slices_at) < 250 || !self.in_contact() {
+            return;
+        }
+        self.slices_at = self.now;
+        if self.limits_blind.is_some() {
+            return;
+        }
+        let usage = self.limited_usage();
+        let own: Vec<(PoolId, Token, Resources)> = self
+            .owned_since
+            .iter()
+            .filter(|(p, _)| !self.hinted.contains_key(p))
+            .map(|(p, o)| {
+                let n = self.fleet.in_pool(p).count() as u32;
+                (p.clone(), o.0, self.fleet.total(&p.machine_type).times(n))
+            })
+            .collect();
+        let mut need: HashMap<(TeamId, usize), Resources> = HashMap::new();
+        for (id, live) in &self.mirror.jobs {
+            if live.record.aborted || live.unclaimed() == 0 {
+                continue;
+            }
+            let sent = self
+                .locals
+                .get(id)
+                .map(|l| l.pools.as_slice())
+                .unwrap_or_default();
+            for (i, (pool, _, _)) in own.iter().enumerate() {
+                if self.may_use(live, pool) && (sent.is_empty() || sent.contains(pool)) {
+                    *need.entry((live.record.spec.team.clone(), i)).or_default() +=
+                        live.each.times(live.unclaimed());
+                }
+            }
+        }
+        let teams: Vec<crate::config::Team> = self
+            .cfg
+            .teams
+            .iter()
+            .filter(|t| t.is_limited())
+            .cloned()
+            .collect();
+        for team in teams {
+            if self.slices_inflight.contains(&team.name) {
+                continue;
+            }
+            let (version, record) = self
+                .mirror
+                .slices
+                .get(&team.name)
+                .cloned()
+                .unwrap_or_default();
+            let max = Resources::new(team.cpus_max, team.gpus_max, 0.0);
+            let taken = record
+                .pools
+                .values()
+                .fold((0, 0), |a, s| (a.0 + s.0, a.1 + s.1));
+            let mut free = (max.cpus - taken.0, max.gpus - taken.1);
+            let mut new = record.clone();
+            let mut txn = Txn::default();
+            for (i, (pool, token, capacity)) in own.iter().enumerate() {
+                let name = pool.to_string();
+                let used = usage
+                    .get(&(team.name.clone(), name.clone()))
+                    .copied()
+                    .unwrap_or_default();
+                let asked = need
+                    .get(&(team.name.clone(), i))
+                    .copied()
+                    .unwrap_or_default();
+                let old = record.pools.get(&name).copied().unwrap_or_default();
+                let part = (
+                    resize(
+                        old.0,
+                        used.cpus,
+                        asked.cpus,
+                        capacity.cpus,
+                        &mut free.0,
+                        max.cpus,
+                    ),
+                    resize(
+                        old.1,
+                        used.gpus,
+                        asked.gpus,
+                        capacity.gpus,
+                        &mut free.1,
+                        max.gpus,
+                    ),
+                );
+                if part != old {
+                    new.pools.insert(name, part);
+                    txn.guard(pool_key(pool), Version(token.0));
+                }
+            }
+            if new == record {
+                continue;
+            }
+            new.pools.retain(|_, s| *s != (0, 0));
+            txn.guard(slice_key(&team.name), version);
+            txn.put(slice_key(&team.name), &new, None);
+            self.slices_inflight.insert(team.name.clone());
+            let request = StoreRequest::Txn(txn.clone());
+            let pending = Pending::Slice {
+                team: team.name,
+                txn,
+                record: new,
+            };
+            self.store(Lane::Claim, request, pending);
+        }
+    }
+
+    pub(crate) fn on_slice(
+        &mut self,
+        op: u64,
+        team: TeamId,
+        txn: Txn,
+        record: SliceRecord,
+        reply: StoreReply,
+    ) {
+        match reply {
+            StoreReply::Committed(version) => {
+                self.slices_inflight.remove(&team);
+                let current = self
+                    .mirror
+                    .slices
+                    .get(&team)
+                    .map(|s| s.0)
+                    .unwrap_or_default();
+                if current < version {
+                    self.mirror.slices.insert(team, (version, record));
+                }
+                self.dirty = true;
+            }
+            // It may yet be executed: until that is decided, nothing is claimed by it.
+            StoreReply::Unknown | StoreReply::Refused => {
+                let request = txn.clone();
+                self.again(
+                    op,
+                    Lane::Claim,
+                    request,
+                    Pending::Slice { team, txn, record },
+                    300,
+                );
+            }
+            _ => {
+                // What stands is known after the next reading; until then it counts as blind.
+                self.slices_inflight.remove(&team);
+                self.limits_blind = Some(self.now);
+                self.want_sync = true;
+            }
+        }
+    }
+
+    /// Parts whose job is gone are removed a few at a time.
+    fn clean_up(&mut self) {
+        if self.cleanup_inflight || !self.in_contact() {
+            return;
+        }
+        let mut txn = Txn::default();
+        'jobs: for (id, parts) in &self.mirror.parts {
+            if self.mirror.jobs.contains_key(id) {
+                continue;
+            }
+            for (part, (version, _)) in parts {
+                if txn.changes.len() >= self.cfg.txn_ops.min(8) {
+                    break 'jobs;
+                }
+                txn.guard(part_key(id, *part), *version);
+                txn.delete(part_key(id, *part));
+            }
+        }
+        if !txn.changes.is_empty() {
+            self.cleanup_inflight = true;
+            self.store(Lane::Poll, StoreRequest::Txn(txn), Pending::Cleanup);
+        }
+    }
+}
+
+/// A pool's new part of a limit (`max` 0: there is none).
+fn resize(old: i64, used: i64, asked: i64, capacity: i64, free: &mut i64, max: i64) -> i64 {
+    if max == 0 {
+        return 0;
+    }
+    let want = (used + asked).min(capacity.max(used));
+    if want > old && *free > 0 {
+        // All that the pool can hold at once, so that it need not ask again.
+        let grow = (capacity.max(want) - old).min(*free).max(0);
+        *free -= grow;
+        return old + grow;
+    }
+    // Others are short: give back what is not used or asked for.
+    if old > want && *free < max / 8 {
+        *free += old - want;
+        return want.max(used);
+    }
+    old
+}
--- /dev/null
+++ b/crates/cleatfold-control/src/lib.rs
@@ -0,0 +1,22 @@
+//! The service's decisions as state machines: events in, effects out, no I/O and no clock.
+//!
+//! `Node` is one controller. Safety rests on the state service alone: every claim is one
+//! transaction guarded by the job's and the pool's version (see `docs/safety.md`).
+
+pub mod config;
+pub mod effects;
+mod fleet;
+mod jobs;
+mod leader;
+mod mirror;
+mod node;
+pub mod records;
+mod requests;
+mod schedule;
+mod workers;
+
+pub use config::{Config, Team};
+pub use effects::{
+    CloudReply, CloudRequest, Effect, Event, Lane, Request, Response, StoreReply, StoreRequest,
+};
+pub use node::Node;
--- /dev/null
+++ b/crates/cleatfold-control/src/mirror.rs
@@ -0,0 +1,276 @@
+//! This node's copy of the live prefix of the state service.
+//!
+//! It is fed from three sides: the listing at the start, the changes read since, and our own
+//! transactions. Each key's version only ever grows here, so a late or repeated piece of news
+//! cannot turn a key back.
+
+use crate::records::*;
+use cleatfold_plan::Resources;
+use cleatfold_wire::store::{Event, Item};
+use cleatfold_wire::*;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+pub type PartMap = BTreeMap<u32, (Version, Table)>;
+
+#[derive(Clone, Debug)]
+pub struct Live {
+    pub record: JobRecord,
+    pub version: Version,
+    pub each: Resources,
+    pub done: u32,
+    pub claimed: u32,
+}
+
+impl Live {
+    pub fn unclaimed(&self) -> u32 {
+        self.record
+            .spec
+            .tasks
+            .saturating_sub(self.done + self.claimed)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Holding {
+    pub owner: NodeId,
+    pub incarnation: u64,
+    pub token: Token,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    pub attempt: Attempt,
+    pub token: Token,
+}
+
+pub type MachineClaims = BTreeMap<(JobId, TaskIx), Claim>;
+
+#[derive(Debug, Default)]
+pub struct Mirror {
+    /// Every change up to this revision is in.
+    pub applied: Version,
+    pub jobs: HashMap<JobId, Live>,
+    pub parts: HashMap<JobId, PartMap>,
+    pub pools: BTreeMap<PoolId, Holding>,
+    pub nodes: BTreeMap<NodeId, (u64, Version)>,
+    pub leader: Option<(NodeId, Version)>,
+    pub slices: HashMap<TeamId, (Version, SliceRecord)>,
+    /// All claims, by machine.
+    pub claims: HashMap<MachineId, MachineClaims>,
+    /// Versions of keys that are gone, newest last, against late news about them.
+    removed: HashMap<String, Version>,
+    removed_order: VecDeque<String>,
+    /// Jobs that went since this was last looked at.
+    pub gone: Vec<JobId>,
+}
+
+impl Mirror {
+    pub fn apply_item(&mut self, item: &Item) {
+        self.set(&item.key, item.value.get(), item.version);
+    }
+
+    pub fn apply_event(&mut self, event: &Event) {
+        if event.version <= self.applied {
+            return;
+        }
+        if let (Some(key), Some(value)) = (&event.put, &event.value) {
+            self.set(key, value.get(), event.version);
+        } else if let Some(key) = &event.delete {
+            self.remove(key, event.version);
+        }
+    }
+
+    fn version_of(&self, key: &str, parsed: &Key) -> Version {
+        let live = match parsed {
+            Key::Job(id) => self.jobs.get(id).map(|j| j.version),
+            Key::Part(id, part) => self.parts.get(id).and_then(|p| p.get(part)).map(|p| p.0),
+            Key::Pool(id) => self.pools.get(id).map(|p| Version(p.token.0)),
+            Key::Node(id) => self.nodes.get(id).map(|n| n.1),
+            Key::Slice(team) => self.slices.get(team).map(|s| s.0),
+            Key::Leader => self.leader.as_ref().map(|l| l.1),
+        };
+        live.or_else(|| self.removed.get(key).copied())
+            .unwrap_or_default()
+    }
+
+    pub fn set(&mut self, key: &str, value: &str, version: Version) {
+        let Some(parsed) = parse_key(key) else { return };
+        if version <= self.version_of(key, &parsed) {
+            return;
+        }
+        let result = match parsed {
+            Key::Job(id) => serde_json::from_str(value).map(|r| self.install_job(id, r, version)),
+            Key::Part(id, part) => {
+                serde_json::from_str(value).map(|t| self.install_part(id, part, t, version))
+            }
+            Key::Pool(id) => serde_json::from_str(value).map(|r: PoolRecord| {
+                let token = Token(version.0);
+                self.pools.insert(
+                    id,
+                    Holding {
+                        owner: r.owner,
+                        incarnation: r.incarnation,
+                        token,
+                    },
+                );
+            }),
+            Key::Node(id) => serde_json::from_str(value).map(|r: NodeRecord| {
+                self.nodes.insert(id, (r.incarnation, version));
+            }),
+            Key::Slice(team) => serde_json::from_str(value).map(|r| {
+                self.slices.insert(team, (version, r));
+            }),
+            Key::Leader => serde_json::from_str(value).map(|node| {
+                self.leader = Some((node, version));
+            }),
+        };
+        if let Err(error) = result {
+            tracing::error!(key, %error, "unreadable record");
+        }
+    }
+
+    pub fn remove(&mut self, key: &str, version: Version) {
+        let Some(parsed) = parse_key(key) else { return };
+        if version <= self.version_of(key, &parsed) {
+            return;
+        }
+        match parsed {
+            Key::Job(id) => {
+                if let Some(live) = self.jobs.remove(&id) {
+                    self.unindex(&id, &live.record.table);
+                    self.gone.push(id);
+                }
+            }
+            Key::Part(id, part) => {
+                if let Some(parts) = self.parts.get_mut(&id) {
+                    if let Some((_, table)) = parts.remove(&part) {
+                        self.unindex(&id, &table);
+                    }
+                }
+                if self.parts.get(&id).is_some_and(|p| p.is_empty()) {
+                    self.parts.remove(&id);
+                }
+                self.recount(&id);
+            }
+            Key::Pool(id) => {
+                self.pools.remove(&id);
+            }
+            Key::Node(id) => {
+                self.nodes.remove(&id);
+            }
+            Key::Slice(team) => {
+                self.slices.remove(&team);
+            }
+            Key::Leader => self.leader = None,
+        }
+        if self.removed.insert(key.to_string(), version).is_none() {
+            self.removed_order.push_back(key.to_string());
+        }
+        while self.removed_order.len() > 500 {
+            if let Some(old) = self.removed_order.pop_front() {
+                self.removed.remove(&old);
+            }
+        }
+    }
+
+    pub fn install_job(&mut self, id: JobId, record: JobRecord, version: Version) {
+        if let Some(old) = self.jobs.remove(&id) {
+            self.unindex(&id, &old.record.table);
+        }
+        self.index(&id, &record.table);
+        let each = record.each();
+        self.jobs.insert(
+            id.clone(),
+            Live {
+                record,
+                version,
+                each,
+                done: 0,
+                claimed: 0,
+            },
+        );
+        self.recount(&id);
+    }
+
+    pub fn install_part(&mut self, id: JobId, part: u32, table: Table, version: Version) {
+        self.index_replacing(&id, part, &table);
+        self.parts
+            .entry(id.clone())
+            .or_default()
+            .insert(part, (version, table));
+        self.recount(&id);
+    }
+
+    fn index_replacing(&mut self, id: &JobId, part: u32, table: &Table) {
+        let old = self.parts.get_mut(id).and_then(|p| p.remove(&part));
+        if let Some((_, old)) = old {
+            self.unindex(id, &old);
+        }
+        self.index(id, table);
+    }
+
+    fn recount(&mut self, id: &JobId) {
+        let Some(live) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let (mut done, mut claimed) = (
+            live.record.table.done_count(),
+            live.record.table.claim_count(),
+        );
+        for part in &live.record.parts_done {
+            let (from, to) = live.record.part_range(*part);
+            done += to - from;
+        }
+        for (_, table) in self.parts.get(id).into_iter().flat_map(|p| p.values()) {
+            done += table.done_count();
+            claimed += table.claim_count();
+        }
+        (live.done, live.claimed) = (done, claimed);
+    }
+
+    fn index(&mut self, id: &JobId, table: &Table) {
+        for group in &table.claims {
+            let on = self.claims.entry(group.machine.clone()).or_default();
+            for (ix, attempt) in &group.tasks {
+                on.insert(
+                    (id.clone(), *ix),
+                    Claim {
+                        attempt: *attempt,
+                        token: group.token,
+                    },
+                );
+            }
+        }
+    }
+
+    fn unindex(&mut self, id: &JobId, table: &Table) {
+        for group in &table.claims {
+            if let Some(on) = self.claims.get_mut(&group.machine) {
+                for (ix, _) in &group.tasks {
+                    on.remove(&(id.clone(), *ix));
+                }
+                if on.is_empty() {
+                    self.claims.remove(&group.machine);
+                }
+            }
+        }
+    }
+
+    pub fn claim(&self, machine: &MachineId, task: &TaskId) -> Option<Claim> {
+        self.claims
+            .get(machine)?
+            .get(&(task.job.clone(), task.ix))
+            .copied()
+    }
+
+    /// Every table of a job: its own, or its parts'.
+    pub fn tables<'a>(&'a self, id: &JobId) -> impl Iterator<Item = &'a Table> + 'a {
+        let own = self.jobs.get(id).map(|j| &j.record.table);
+        let parts = self
+            .parts
+            .get(id)
+            .into_iter()
+            .flat_map(|p| p.values().map(|p| &p.1));
+        own.into_iter().chain(parts)
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-control/src/node.rs
@@ -0,0 +1,629 @@
+//! One controller: its state, and what it does at each event.
+
+use crate::config::Config;
+use crate::effects::*;
+use crate::fleet::Fleet;
+use crate::jobs::{JobTx, Local};
+use crate::mirror::Mirror;
+use crate::records::*;
+use crate::schedule::Plans;
+use cleatfold_wire::cloud::RentRequest;
+use cleatfold_wire::job::JobSpec;
+use cleatfold_wire::mesh::Message;
+use cleatfold_wire::store::Txn;
+use cleatfold_wire::*;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+
+/// A call to the state service or the cloud that has no answer yet.
+#[derive(Debug)]
+pub(crate) enum Pending {
+    Sync {
+        sent: Ms,
+    },
+    Load {
+        sent: Ms,
+    },
+    Job(Box<JobTx>),
+    Submit {
+        batch: Vec<Submission>,
+        txn: Txn,
+    },
+    Archive {
+        job: JobId,
+        waiting: Vec<Waiting>,
+    },
+    Grant {
+        sent: Ms,
+    },
+    Extend {
+        sent: Ms,
+    },
+    Enlist,
+    Lead,
+    /// Any transaction on pool keys or slices: whatever comes of it, the next sync tells.
+    Deal,
+    Slice {
+        team: TeamId,
+        txn: Txn,
+        record: SliceRecord,
+    },
+    Cleanup,
+    Types,
+    List {
+        sent: Ms,
+    },
+    Rent {
+        request: RentRequest,
+        tries: u32,
+    },
+    Delete {
+        machines: Vec<MachineId>,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Submission {
+    pub rid: u64,
+    pub spec: Box<JobSpec>,
+}
+
+/// A user request that waits for a reading of the state service.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub rid: u64,
+    pub job: JobId,
+    pub arrived: Ms,
+    pub kind: Wait,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Wait {
+    Poll,
+    /// A submission that cannot run by today's settings: 422 unless it is known already.
+    Impossible(String),
+    /// A submission of a job that is known: 200 with its state.
+    Known(Box<JobSpec>),
+    Withdraw,
+}
+
+pub(crate) struct Peer {
+    /// When the peer last said that it had read the state service.
+    pub contact: Option<Ms>,
+}
+
+pub struct Node {
+    pub(crate) cfg: Config,
+    pub(crate) now: Ms,
+    /// Time of day in milliseconds; orders the queue, decides nothing else.
+    pub(crate) wall_ms: u64,
+    pub(crate) out: Vec<Effect>,
+    pub(crate) next_op: u64,
+    pub(crate) ops: HashMap<u64, Pending>,
+    pub(crate) resend: Vec<(Ms, u64, Lane, StoreRequest)>,
+
+    pub(crate) mirror: Mirror,
+    pub(crate) loaded: bool,
+    pub(crate) loading: bool,
+    load_from: Option<String>,
+    load_base: Option<Version>,
+    pub(crate) sync_inflight: bool,
+    pub(crate) sync_sent: Ms,
+    pub(crate) want_sync: bool,
+    /// The state service's content was known to us as of this moment.
+    pub(crate) fresh: Option<Ms>,
+    /// The last call that the state service failed to answer.
+    pub(crate) store_failed: Option<Ms>,
+
+    pub(crate) lease: Option<LeaseId>,
+    pub(crate) lease_asked: bool,
+    pub(crate) lease_sent: Ms,
+    pub(crate) incarnation: Option<u64>,
+    enlisting: bool,
+    pub(crate) leading_asked: bool,
+    pub(crate) leader_since: Option<Ms>,
+    pub(crate) dealing: Option<u64>,
+    pub(crate) dealt: HashMap<PoolId, Ms>,
+
+    pub(crate) locals: HashMap<JobId, Local>,
+    pub(crate) submissions: VecDeque<Submission>,
+    pub(crate) submit_inflight: bool,
+    pub(crate) waiting: Vec<Waiting>,
+    pub(crate) terminal: crate::requests::Terminal,
+
+    pub(crate) fleet: Fleet,
+    pub(crate) types_at: Option<Ms>,
+    pub(crate) types_asked: bool,
+    pub(crate) list_asked: bool,
+    pub(crate) list_at: Option<Ms>,
+    pub(crate) list_acc: Vec<cleatfold_wire::cloud::ListedMachine>,
+    pub(crate) owned_since: BTreeMap<PoolId, (Token, Ms)>,
+    pub(crate) strays: HashMap<MachineId, VecDeque<Ms>>,
+    pub(crate) last_tick: Ms,
+
+    pub(crate) peers: BTreeMap<NodeId, Peer>,
+    /// Pools under a higher token than we have read, as told by their owners.
+    pub(crate) hinted: HashMap<PoolId, (NodeId, Token)>,
+    pub(crate) alive_sent: Ms,
+    pub(crate) plans: Plans,
+    pub(crate) dirty: bool,
+    pub(crate) refused: HashMap<(PoolId, bool), Ms>,
+    pub(crate) rent_inflight: usize,
+    pub(crate) rent_count: u64,
+    pub(crate) assigned_at: Ms,
+    pub(crate) slices_inflight: HashSet<TeamId>,
+    pub(crate) slices_at: Ms,
+    pub(crate) cleanup_inflight: bool,
+    /// Claims may stand that we have not read yet; no claim for a limited team until we have.
+    pub(crate) limits_blind: Option<Ms>,
+}
+
+impl Node {
+    pub fn new(cfg: Config) -> Self {
+        let peers = cfg
+            .peers
+            .iter()
+            .map(|(id, _)| (id.clone(), Peer { contact: None }))
+            .collect();
+        Self {
+            cfg,
+            now: Ms(0),
+            wall_ms: 0,
+            out: Vec::new(),
+            next_op: 1,
+            ops: HashMap::new(),
+            resend: Vec::new(),
+            mirror: Mirror::default(),
+            loaded: false,
+            loading: false,
+            load_from: None,
+            load_base: None,
+            sync_inflight: false,
+            sync_sent: Ms(0),
+            want_sync: false,
+            fresh: None,
+            store_failed: None,
+            lease: None,
+            lease_asked: false,
+            lease_sent: Ms(0),
+            incarnation: None,
+            enlisting: false,
+            leading_asked: false,
+            leader_since: None,
+            dealing: None,
+            dealt: HashMap::new(),
+            locals: HashMap::new(),
+            submissions: VecDeque::new(),
+            submit_inflight: false,
+            waiting: Vec::new(),
+            terminal: Default::default(),
+            fleet: Fleet::default(),
+            types_at: None,
+            types_asked: false,
+            list_asked: false,
+            list_at: None,
+            list_acc: Vec::new(),
+            owned_since: BTreeMap::new(),
+            strays: HashMap::new(),
+            last_tick: Ms(0),
+            peers,
+            hinted: HashMap::new(),
+            alive_sent: Ms(0),
+            plans: Plans::default(),
+            dirty: false,
+            refused: HashMap::new(),
+            rent_inflight: 0,
+            rent_count: 0,
+            assigned_at: Ms(0),
+            slices_inflight: HashSet::new(),
+            slices_at: Ms(0),
+            cleanup_inflight: false,
+            limits_blind: None,
+        }
+    }
+
+    /// Handles one event; returns what is to be done.
+    pub fn handle(&mut self, now: Ms, wall_ms: u64, event: Event) -> Vec<Effect> {
+        self.now = now.max(self.now);
+        self.wall_ms = wall_ms;
+        match event {
+            Event::Tick => self.tick(),
+            Event::Request { rid, request } => self.on_request(rid, request),
+            Event::Report { rid, report } => self.on_report(rid, report),
+            Event::Store { op, reply } => self.on_store(op, reply),
+            Event::Cloud { op, reply } => self.on_cloud(op, reply),
+            Event::Mesh { from, message } => self.on_mesh(from, message),
+        }
+        self.flush();
+        std::mem::take(&mut self.out)
+    }
+
+    pub(crate) fn reply(&mut self, rid: u64, response: Response) {
+        self.out.push(Effect::Reply { rid, response });
+    }
+
+    pub(crate) fn store(&mut self, lane: Lane, request: StoreRequest, pending: Pending) -> u64 {
+        let op = self.next_op;
+        self.next_op += 1;
+        self.ops.insert(op, pending);
+        self.out.push(Effect::Store { op, lane, request });
+        op
+    }
+
+    pub(crate) fn cloud(&mut self, request: CloudRequest, pending: Pending) {
+        let op = self.next_op;
+        self.next_op += 1;
+        self.ops.insert(op, pending);
+        self.out.push(Effect::Cloud { op, request });
+    }
+
+    pub(crate) fn tell(&mut self, to: Option<NodeId>, message: Message) {
+        self.out.push(Effect::Mesh { to, message });
+    }
+
+    fn tick(&mut self) {
+        // A process that was held up itself must not take its silence for the workers'.
+        let gap = self.now.since(self.last_tick);
+        if gap > 1000 && self.last_tick > Ms(0) {
+            tracing::info!(gap, "held up");
+            for m in self.fleet.machines.values_mut() {
+                m.known = m.known.max(self.now);
+            }
+        }
+        self.last_tick = self.now;
+        for (at, op, lane, request) in std::mem::take(&mut self.resend) {
+            if at <= self.now {
+                self.out.push(Effect::Store { op, lane, request });
+            } else {
+                self.resend.push((at, op, lane, request));
+            }
+        }
+        self.fail_stale_waits();
+        self.keep_lease();
+        self.keep_mirror();
+        self.keep_cloud();
+        if self.now.since(self.alive_sent) >= 1000 {
+            self.alive_sent = self.now;
+            if let Some(fresh) = self.fresh {
+                let contact_age_ms = self.now.since(fresh);
+                self.tell(None, Message::Alive { contact_age_ms });
+            }
+        }
+        if !self.serving() {
+            return;
+        }
+        self.lead();
+        self.watch_machines();
+        self.plan_if_due();
+        self.keep_slices();
+    }
+
+    /// Recovered, and entitled to act.
+    pub(crate) fn serving(&self) -> bool {
+        self.loaded && self.incarnation.is_some() && self.types_at.is_some()
+    }
+
+    /// The state service has answered lately.
+    pub(crate) fn in_contact(&self) -> bool {
+        self.fresh
+            .is_some_and(|f| self.now.since(f) < 2500 + self.cfg.sync_ms)
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        if !self.serving() {
+            return false;
+        }
+        // In an outage that all share, leaving would only lose the users their connections.
+        // Where a peer still reads the state service, the users are better served there.
+        let peer_in_contact = self
+            .peers
+            .values()
+            .any(|p| p.contact.is_some_and(|c| self.now.since(c) < 4000));
+        self.in_contact() || !peer_in_contact
+    }
+
+    // ---- the lease and our own key ----
+
+    fn keep_lease(&mut self) {
+        if self.lease_asked {
+            return;
+        }
+        let ttl_ms = self.cfg.node_ttl_ms;
+        match self.lease {
+            None if self.now.since(self.lease_sent) >= 300 || self.lease_sent == Ms(0) => {
+                self.lease_asked = true;
+                self.lease_sent = self.now;
+                let sent = self.now;
+                self.store(
+                    Lane::Renewal,
+                    StoreRequest::Grant { ttl_ms },
+                    Pending::Grant { sent },
+                );
+            }
+            Some(lease) if self.now.since(self.lease_sent) >= ttl_ms / 3 => {
+                self.lease_asked = true;
+                self.lease_sent = self.now;
+                let sent = self.now;
+                self.store(
+                    Lane::Renewal,
+                    StoreRequest::Extend(lease),
+                    Pending::Extend { sent },
+                );
+            }
+            _ => {}
+        }
+        if let (Some(lease), Some(incarnation), false) =
+            (self.lease, self.incarnation, self.enlisting)
+        {
+            let known = self.mirror.nodes.get(&self.cfg.me);
+            if self.loaded && known.map(|n| n.0) != Some(incarnation) {
+                self.enlisting = true;
+                let mut txn = Txn::default();
+                txn.put(
+                    node_key(&self.cfg.me),
+                    &NodeRecord { incarnation },
+                    Some(lease),
+                );
+                self.store(Lane::Renewal, StoreRequest::Txn(txn), Pending::Enlist);
+            }
+        }
+    }
+
+    // ---- reading the state service ----
+
+    fn keep_mirror(&mut self) {
+        if !self.loaded {
+            if !self.loading && self.now.since(self.sync_sent) >= 200 {
+                self.loading = true;
+                self.sync_sent = self.now;
+                let sent = self.now;
+                let request = StoreRequest::List {
+                    prefix: LIVE.into(),
+                    from: self.load_from.clone(),
+                };
+                self.store(Lane::Renewal, request, Pending::Load { sent });
+            }
+            return;
+        }
+        self.sync_if_due();
+    }
+
+    pub(crate) fn sync_if_due(&mut self) {
+        if !self.loaded || self.sync_inflight {
+            return;
+        }
+        let since = self.now.since(self.sync_sent);
+        let pressing = self.want_sync || !self.waiting.is_empty();
+        // Users' polls gather for a moment so that one reading answers many.
+        if since >= self.cfg.sync_ms || (pressing && since >= self.cfg.sync_ms / 3) {
+            self.sync_inflight = true;
+            self.want_sync = false;
+            self.sync_sent = self.now;
+            let request = StoreRequest::Changes {
+                prefix: LIVE.into(),
+                from: self.mirror.applied,
+            };
+            let sent = self.now;
+            self.store(Lane::Renewal, request, Pending::Sync { sent });
+        }
+    }
+
+    fn reload(&mut self) {
+        tracing::info!("reading everything again");
+        self.mirror = Mirror::default();
+        self.loaded = false;
+        self.load_from = None;
+        self.load_base = None;
+    }
+
+    fn on_load(&mut self, sent: Ms, reply: StoreReply) {
+        self.loading = false;
+        let StoreReply::Page(page) = reply else {
+            self.store_failed = Some(self.now);
+            return;
+        };
+        self.load_base.get_or_insert(page.revision);
+        for item in &page.items {
+            self.mirror.apply_item(item);
+        }
+        match (page.more, page.items.last()) {
+            (true, Some(last)) => self.load_from = Some(last.key.clone()),
+            _ => {
+                self.mirror.applied = self.load_base.unwrap_or_default();
+                self.loaded = true;
+                // The pages are from different moments: only the next reading is complete.
+                self.want_sync = true;
+                self.sync_sent = Ms(sent.0.saturating_sub(self.cfg.sync_ms));
+                tracing::info!(
+                    jobs = self.mirror.jobs.len(),
+                    revision = self.mirror.applied.0,
+                    "loaded"
+                );
+            }
+        }
+    }
+
+    fn on_sync(&mut self, sent: Ms, reply: StoreReply) {
+        self.sync_inflight = false;
+        match reply {
+            StoreReply::Events(events) => {
+                if !events.events.is_empty() {
+                    self.dirty = true;
+                }
+                for event in &events.events {
+                    self.mirror.apply_event(event);
+                }
+                self.mirror.applied = self.mirror.applied.max(events.revision);
+                self.fresh = Some(self.fresh.map_or(sent, |f| f.max(sent)));
+                if self.limits_blind.is_some_and(|b| b <= sent) {
+                    self.limits_blind = None;
+                }
+                for local in self.locals.values_mut() {
+                    if local.stale_since.is_some_and(|s| s <= sent) {
+                        local.stale_since = None;
+                    }
+                }
+                self.after_sync(sent);
+            }
+            StoreReply::TooOld => self.reload(),
+            _ => self.store_failed = Some(self.now),
+        }
+    }
+
+    fn after_sync(&mut self, sent: Ms) {
+        for job in std::mem::take(&mut self.mirror.gone) {
+            self.drop_local(&job);
+        }
+        self.note_ownership();
+        self.answer_waiting(sent);
+        self.sync_if_due();
+    }
+
+    /// Sees which pools came to us since, and under which token.
+    fn note_ownership(&mut self) {
+        let mine: Vec<(PoolId, Token)> = self
+            .mirror
+            .pools
+            .iter()
+            .filter(|(_, h)| h.owner == self.cfg.me && Some(h.incarnation) == self.incarnation)
+            .map(|(id, h)| (id.clone(), h.token))
+            .collect();
+        let owned: HashSet<&PoolId> = mine.iter().map(|m| &m.0).collect();
+        self.owned_since.retain(|pool, _| owned.contains(pool));
+        for (pool, token) in mine {
+            if self.owned_since.get(&pool).map(|o| o.0) == Some(token) {
+                continue;
+            }
+            tracing::info!(%pool, token = token.0, "pool is ours");
+            self.owned_since.insert(pool, (token, self.now));
+            self.dirty = true;
+        }
+        let mirror = &self.mirror;
+        self.hinted
+            .retain(|pool, (_, token)| mirror.pools.get(pool).is_none_or(|h| h.token < *token));
+    }
+
+    /// Our token for a pool, if it is ours as far as we know.
+    pub(crate) fn my_token(&self, pool: &PoolId) -> Option<Token> {
+        if self.hinted.contains_key(pool) {
+            return None;
+        }
+        self.owned_since.get(pool).map(|o| o.0)
+    }
+
+    // ---- answers of the state service ----
+
+    fn on_store(&mut self, op: u64, reply: StoreReply) {
+        let Some(pending) = self.ops.remove(&op) else {
+            return;
+        };
+        match &reply {
+            StoreReply::Refused | StoreReply::Unknown => self.store_failed = Some(self.now),
+            StoreReply::Bad(why) => tracing::error!(why, "state service refused a request"),
+            _ => {}
+        }
+        match pending {
+            Pending::Sync { sent } => self.on_sync(sent, reply),
+            Pending::Load { sent } => self.on_load(sent, reply),
+            Pending::Job(tx) => self.on_job_tx(op, *tx, reply),
+            Pending::Submit { batch, txn } => self.on_submitted(batch, txn, reply),
+            Pending::Archive { job, waiting } => self.on_archive(job, waiting, reply),
+            Pending::Grant { sent } => {
+                self.lease_asked = false;
+                if let StoreReply::Granted(lease) = reply {
+                    self.lease = Some(lease);
+                    self.lease_sent = sent;
+                    self.incarnation.get_or_insert(lease.0);
+                }
+            }
+            Pending::Extend { sent } => {
+                self.lease_asked = false;
+                match reply {
+                    StoreReply::Extended => {}
+                    StoreReply::Missing => {
+                        tracing::info!("our lease has ended");
+                        self.lease = None;
+                        self.lease_sent = Ms(sent.0.saturating_sub(1000));
+                    }
+                    // Not renewed: ask again soon.
+                    _ => {
+                        self.lease_sent =
+                            Ms(self.now.0.saturating_sub(self.cfg.node_ttl_ms / 3 - 300))
+                    }
+                }
+            }
+            Pending::Enlist => {
+                self.enlisting = false;
+                if let StoreReply::Bad(_) = reply {
+                    self.lease = None;
+                }
+                self.want_sync = true;
+            }
+            Pending::Lead => {
+                self.leading_asked = false;
+                self.want_sync = true;
+            }
+            Pending::Deal => {
+                self.dealing = None;
+                self.want_sync = true;
+                if matches!(reply, StoreReply::Committed(_)) {
+                    self.tell(None, Message::Changed);
+                }
+            }
+            Pending::Slice { team, txn, record } => self.on_slice(op, team, txn, record, reply),
+            Pending::Cleanup => {
+                self.cleanup_inflight = false;
+                self.want_sync = true;
+            }
+            _ => {}
+        }
+    }
+
+    /// Sends a transaction with an unknown outcome once more: the same guards decide.
+    pub(crate) fn again(&mut self, op: u64, lane: Lane, txn: Txn, pending: Pending, ms: u64) {
+        self.ops.insert(op, pending);
+        self.resend
+            .push((self.now.plus(ms), op, lane, StoreRequest::Txn(txn)));
+    }
+
+    // ---- the mesh ----
+
+    fn on_mesh(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::Alive { contact_age_ms } => {
+                let contact = Ms(self.now.0.saturating_sub(contact_age_ms));
+                if let Some(peer) = self.peers.get_mut(&from) {
+                    peer.contact = Some(contact);
+                }
+            }
+            Message::Changed => {
+                self.want_sync = true;
+                self.sync_if_due();
+            }
+            Message::Assign { pools, jobs } => self.on_assign(&from, pools, jobs),
+            Message::Promises {
+                pool,
+                token,
+                promises,
+            } => {
+                let Some(pool) = PoolId::parse(&pool) else {
+                    return;
+                };
+                let token = Token(token);
+                let known = self
+                    .mirror
+                    .pools
+                    .get(&pool)
+                    .map(|h| h.token)
+                    .unwrap_or_default();
+                if token > known {
+                    self.hinted.insert(pool.clone(), (from, token));
+                    self.want_sync = true;
+                }
+                if token >= known {
+                    self.plans.remote(pool, token, self.now, promises);
+                    self.dirty = true;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-control/src/records.rs
@@ -0,0 +1,310 @@
+//! What the state service holds. Short field names: values are small there.
+//!
+//! A job of up to `PART` tasks lives in one record, `cf/j/<job>`. A larger one keeps its
+//! tasks in parts, `cf/p/<job>/<part>`, which come into being with their first claim; its
+//! head names the parts that are complete. Ended jobs move to `ar/<job>`, outside of what
+//! nodes read at start and follow.
+
+use cleatfold_plan::Resources;
+use cleatfold_wire::job::{JobSpec, JobState, JobStatus};
+use cleatfold_wire::*;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Tasks of one record. A record full of claims stays under 8 KiB.
+pub const PART: u32 = 256;
+
+pub const LIVE: &str = "cf/";
+const JOBS: &str = "cf/j/";
+const PARTS: &str = "cf/p/";
+const POOLS: &str = "cf/pool/";
+const NODES: &str = "cf/node/";
+const SLICES: &str = "cf/slice/";
+pub const LEADER: &str = "cf/leader";
+
+pub fn job_key(job: &JobId) -> String {
+    format!("{JOBS}{job}")
+}
+pub fn archive_key(job: &JobId) -> String {
+    format!("ar/{job}")
+}
+pub fn part_key(job: &JobId, part: u32) -> String {
+    format!("{PARTS}{job}/{part:05}")
+}
+pub fn pool_key(pool: &PoolId) -> String {
+    format!("{POOLS}{pool}")
+}
+pub fn node_key(node: &NodeId) -> String {
+    format!("{NODES}{node}")
+}
+pub fn slice_key(team: &TeamId) -> String {
+    format!("{SLICES}{team}")
+}
+
+/// What a key of the live prefix is about.
+#[derive(Debug, PartialEq)]
+pub enum Key {
+    Job(JobId),
+    Part(JobId, u32),
+    Pool(PoolId),
+    Node(NodeId),
+    Slice(TeamId),
+    Leader,
+}
+
+pub fn parse_key(key: &str) -> Option<Key> {
+    if let Some(id) = key.strip_prefix(JOBS) {
+        Some(Key::Job(JobId::new(id)))
+    } else if let Some(rest) = key.strip_prefix(PARTS) {
+        let (id, part) = rest.rsplit_once('/')?;
+        Some(Key::Part(JobId::new(id), part.parse().ok()?))
+    } else if let Some(id) = key.strip_prefix(POOLS) {
+        Some(Key::Pool(PoolId::parse(id)?))
+    } else if let Some(id) = key.strip_prefix(NODES) {
+        Some(Key::Node(NodeId::new(id)))
+    } else if let Some(id) = key.strip_prefix(SLICES) {
+        Some(Key::Slice(TeamId::new(id)))
+    } else if key == LEADER {
+        Some(Key::Leader)
+    } else {
+        None
+    }
+}
+
+/// Who owns a pool. The incarnation tells a restarted owner from the one that was dealt the
+/// pool: a restart gets a new token, so nothing of the former life can speak for it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolRecord {
+    #[serde(rename = "o")]
+    pub owner: NodeId,
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+}
+
+/// A team's limit, cut into the part of each pool and what is still free.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SliceRecord {
+    /// Thousandths of CPUs and GPUs per pool.
+    #[serde(rename = "p")]
+    pub pools: BTreeMap<String, (i64, i64)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ArchiveRecord {
+    #[serde(rename = "e")]
+    pub state: JobState,
+    #[serde(rename = "n")]
+    pub done: u32,
+    #[serde(rename = "q")]
+    pub team: TeamId,
+}
+
+/// The claims on one machine under one token.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClaimGroup {
+    #[serde(rename = "m")]
+    pub machine: MachineId,
+    #[serde(rename = "k")]
+    pub token: Token,
+    #[serde(rename = "p")]
+    pub pool: String,
+    #[serde(rename = "t")]
+    pub tasks: Vec<(TaskIx, Attempt)>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Table {
+    /// Tasks that are done, as ranges [from, to).
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<(u32, u32)>,
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub claims: Vec<ClaimGroup>,
+    /// The highest attempt of tasks that are neither claimed nor done.
+    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
+    pub attempts: Vec<(TaskIx, Attempt)>,
+}
+
+impl Table {
+    pub fn is_done(&self, ix: TaskIx) -> bool {
+        let i = self.done.partition_point(|r| r.1 <= ix.0);
+        self.done.get(i).is_some_and(|r| r.0 <= ix.0)
+    }
+
+    pub fn done_count(&self) -> u32 {
+        self.done.iter().map(|r| r.1 - r.0).sum()
+    }
+
+    pub fn claim_count(&self) -> u32 {
+        self.claims.iter().map(|g| g.tasks.len() as u32).sum()
+    }
+
+    fn mark_done(&mut self, ix: TaskIx) {
+        let n = ix.0;
+        let i = self.done.partition_point(|r| r.1 < n);
+        match self.done.get_mut(i) {
+            Some(r) if r.0 <= n && n < r.1 => return,
+            Some(r) if r.1 == n => r.1 = n + 1,
+            Some(r) if r.0 == n + 1 => r.0 = n,
+            _ => self.done.insert(i, (n, n + 1)),
+        }
+        if i + 1 < self.done.len() && self.done[i].1 == self.done[i + 1].0 {
+            self.done[i].1 = self.done[i + 1].1;
+            self.done.remove(i + 1);
+        }
+    }
+
+    /// Ends a claim, if it stands exactly so. Returns whether it did.
+    pub fn end(&mut self, machine: &MachineId, ix: TaskIx, attempt: Attempt, done: bool) -> bool {
+        let mut found = false;
+        for group in &mut self.claims {
+            if group.machine == *machine {
+                let before = group.tasks.len();
+                group.tasks.retain(|t| *t != (ix, attempt));
+                found |= group.tasks.len() < before;
+            }
+        }
+        if found {
+            self.claims.retain(|g| !g.tasks.is_empty());
+            if done {
+                self.mark_done(ix);
+            } else {
+                self.attempts.push((ix, attempt));
+            }
+        }
+        found
+    }
+
+    /// Tasks of `from..to` that may be claimed.
+    pub fn free(&self, from: u32, to: u32) -> Vec<TaskIx> {
+        let mut taken: Vec<u32> = self
+            .claims
+            .iter()
+            .flat_map(|g| g.tasks.iter().map(|t| t.0 .0))
+            .collect();
+        taken.sort_unstable();
+        (from..to)
+            .map(TaskIx)
+            .filter(|ix| taken.binary_search(&ix.0).is_err() && !self.is_done(*ix))
+            .collect()
+    }
+
+    /// Claims a free task with an attempt above all earlier ones.
+    pub fn claim(&mut self, machine: &MachineId, token: Token, pool: &str, ix: TaskIx) -> Attempt {
+        let last = self
+            .attempts
+            .iter()
+            .filter(|a| a.0 == ix)
+            .map(|a| a.1)
+            .max();
+        self.attempts.retain(|a| a.0 != ix);
+        let attempt = Attempt(last.unwrap_or_default().0 + 1);
+        match self
+            .claims
+            .iter_mut()
+            .find(|g| g.machine == *machine && g.token == token)
+        {
+            Some(group) => group.tasks.push((ix, attempt)),
+            None => self.claims.push(ClaimGroup {
+                machine: machine.clone(),
+                token,
+                pool: pool.to_string(),
+                tasks: vec![(ix, attempt)],
+            }),
+        }
+        attempt
+    }
+}
+
+/// The record of a job that is not yet archived.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    #[serde(rename = "s")]
+    pub spec: JobSpec,
+    /// Time of day of acceptance, in milliseconds. Only orders the queue.
+    #[serde(rename = "at")]
+    pub accepted_ms: u64,
+    #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
+    pub aborted: bool,
+    /// Of a one-zone job: where its first claim bound it.
+    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<ZoneId>,
+    /// Parts that are complete and have no record any more.
+    #[serde(rename = "pd", default, skip_serializing_if = "Vec::is_empty")]
+    pub parts_done: Vec<u32>,
+    /// The tasks, where the job has just one part.
+    #[serde(rename = "u", default)]
+    pub table: Table,
+}
+
+impl JobRecord {
+    pub fn new(spec: JobSpec, accepted_ms: u64) -> Self {
+        Self {
+            spec,
+            accepted_ms,
+            aborted: false,
+            zone: None,
+            parts_done: Vec::new(),
+            table: Table::default(),
+        }
+    }
+    pub fn each(&self) -> Resources {
+        Resources::new(self.spec.cpus, self.spec.gpus, self.spec.memory_gb)
+    }
+    pub fn in_parts(&self) -> bool {
+        self.spec.tasks > PART
+    }
+    pub fn part_count(&self) -> u32 {
+        self.spec.tasks.div_ceil(PART)
+    }
+    /// The tasks of a part, as a range [from, to).
+    pub fn part_range(&self, part: u32) -> (u32, u32) {
+        (part * PART, ((part + 1) * PART).min(self.spec.tasks))
+    }
+}
+
+pub fn status(id: &JobId, state: JobState, done: u32, running: u32) -> JobStatus {
+    JobStatus {
+        id: id.clone(),
+        state,
+        done,
+        running,
+        why: None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn done_ranges_stay_merged() {
+        let mut t = Table::default();
+        for ix in [5, 3, 4, 0, 9, 1, 2, 8, 7, 6] {
+            assert!(!t.is_done(TaskIx(ix)));
+            t.mark_done(TaskIx(ix));
+            t.mark_done(TaskIx(ix));
+            assert!(t.is_done(TaskIx(ix)));
+        }
+        assert_eq!(t.done, vec![(0, 10)]);
+    }
+
+    #[test]
+    fn attempts_only_grow_and_only_an_exact_claim_ends() {
+        let (m, n) = (MachineId::new("vm-1"), MachineId::new("vm-2"));
+        let mut t = Table::default();
+        assert_eq!(t.claim(&m, Token(1), "a/b", TaskIx(0)), Attempt(1));
+        assert!(t.free(0, 1).is_empty());
+        assert!(!t.end(&n, TaskIx(0), Attempt(1), true));
+        assert!(!t.end(&m, TaskIx(0), Attempt(2), true));
+        assert!(t.end(&m, TaskIx(0), Attempt(1), false));
+        assert_eq!(t.claim(&n, Token(2), "a/b", TaskIx(0)), Attempt(2));
+        assert!(t.end(&n, TaskIx(0), Attempt(2), true));
+        assert!(t.free(0, 1).is_empty() && t.claims.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-control/src/requests.rs
@@ -0,0 +1,360 @@
+//! What users ask: submissions, polls, cancellations.
+
+use crate::effects::*;
+use crate::jobs::Local;
+use crate::node::{Node, Pending, Submission, Wait, Waiting};
+use crate::records::*;
+use cleatfold_plan::Resources;
+use cleatfold_wire::job::{JobSpec, JobState, JobStatus, Kind};
+use cleatfold_wire::mesh::Message;
+use cleatfold_wire::store::Txn;
+use cleatfold_wire::*;
+use std::collections::{HashMap, VecDeque};
+
+/// Answers that are final may be kept: they never change. Bounded; the archive has them all.
+#[derive(Default)]
+pub(crate) struct Terminal {
+    states: HashMap<JobId, (JobState, u32)>,
+    order: VecDeque<JobId>,
+}
+
+impl Terminal {
+    const KEPT: usize = 4000;
+
+    pub fn insert(&mut self, job: JobId, archive: ArchiveRecord) {
+        if self
+            .states
+            .insert(job.clone(), (archive.state, archive.done))
+            .is_none()
+        {
+            self.order.push_back(job);
+        }
+        while self.order.len() > Self::KEPT {
+            if let Some(old) = self.order.pop_front() {
+                self.states.remove(&old);
+            }
+        }
+    }
+
+    pub fn get(&self, job: &JobId) -> Option<JobStatus> {
+        self.states
+            .get(job)
+            .map(|(state, done)| status(job, *state, *done, 0))
+    }
+}
+
+/// How long a user waits for the answer to a poll and to the other requests.
+const POLL_MS: u64 = 1700;
+const REQUEST_MS: u64 = 4000;
+
+impl Node {
+    pub(crate) fn on_request(&mut self, rid: u64, request: Request) {
+        if let Request::Ready = request {
+            let response = if self.is_ready() {
+                Response::Ready
+            } else {
+                Response::later("this node is not ready")
+            };
+            return self.reply(rid, response);
+        }
+        if !self.serving() {
+            return self.reply(rid, Response::later("this node is starting"));
+        }
+        match request {
+            Request::Submit(spec) => self.on_submit(rid, spec),
+            Request::Poll(job) => match self.terminal.get(&job) {
+                Some(status) => self.reply(rid, Response::Status { code: 200, status }),
+                None => self.wait(rid, job, Wait::Poll),
+            },
+            Request::Withdraw(job) => match self.terminal.get(&job) {
+                Some(status) => self.reply(rid, Response::Status { code: 200, status }),
+                None => self.wait(rid, job, Wait::Withdraw),
+            },
+            Request::Ready => unreachable!("answered above"),
+        }
+    }
+
+    /// The state service has just failed and not answered since: requests that need it are
+    /// told so at once, with the time to come back.
+    pub(crate) fn store_away(&self) -> bool {
+        match (self.store_failed, self.fresh) {
+            (Some(failed), Some(fresh)) => failed > fresh && self.now.since(fresh) > 1500,
+            (failed, None) => failed.is_some(),
+            _ => false,
+        }
+    }
+
+    pub(crate) fn wait(&mut self, rid: u64, job: JobId, kind: Wait) {
+        if self.store_away() {
+            return self.reply(rid, Response::later("the state service does not answer"));
+        }
+        self.waiting.push(Waiting {
+            rid,
+            job,
+            arrived: self.now,
+            kind,
+        });
+        self.sync_if_due();
+    }
+
+    /// Whoever has waited too long is told to come back.
+    pub(crate) fn fail_stale_waits(&mut self) {
+        let away = self.store_away();
+        let now = self.now;
+        let mut late = Vec::new();
+        self.waiting.retain(|w| {
+            let limit = if matches!(w.kind, Wait::Poll) {
+                POLL_MS
+            } else {
+                REQUEST_MS
+            };
+            let give_up = away || now.since(w.arrived) > limit;
+            if give_up {
+                late.push(w.rid);
+            }
+            !give_up
+        });
+        if away {
+            late.extend(self.submissions.drain(..).map(|s| s.rid));
+        }
+        for rid in late {
+            self.reply(rid, Response::later("the state service does not answer"));
+        }
+    }
+
+    /// A reading sent at `sent` is in: it answers everyone who asked before.
+    pub(crate) fn answer_waiting(&mut self, sent: Ms) {
+        let (ripe, rest) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|w| w.arrived <= sent);
+        self.waiting = rest;
+        let mut unknown: HashMap<JobId, Vec<Waiting>> = HashMap::new();
+        for w in ripe {
+            let w: Waiting = w;
+            if let Some(status) = self.terminal.get(&w.job) {
+                self.reply(w.rid, Response::Status { code: 200, status });
+            } else if self.mirror.jobs.contains_key(&w.job) {
+                self.answer_live(w);
+            } else {
+                unknown.entry(w.job.clone()).or_default().push(w);
+            }
+        }
+        for (job, waiting) in unknown {
+            let request = StoreRequest::Get(archive_key(&job));
+            self.store(Lane::Poll, request, Pending::Archive { job, waiting });
+        }
+    }
+
+    fn live_status(&self, job: &JobId) -> Option<JobStatus> {
+        let live = self.mirror.jobs.get(job)?;
+        let state = match (live.record.aborted, live.claimed) {
+            (true, _) => JobState::Aborted,
+            (false, 0) => JobState::Queued,
+            _ => JobState::Running,
+        };
+        let mut status = status(job, state, live.done, live.claimed);
+        status.why = self.locals.get(job).and_then(|l| l.last_why.clone());
+        Some(status)
+    }
+
+    fn answer_live(&mut self, w: Waiting) {
+        let Some(status) = self.live_status(&w.job) else {
+            return;
+        };
+        if matches!(w.kind, Wait::Withdraw) && status.state != JobState::Aborted {
+            let local = self.local(&w.job);
+            local.abort = true;
+            local.withdrawals.push(w.rid);
+            return;
+        }
+        self.reply(w.rid, Response::Status { code: 200, status });
+    }
+
+    pub(crate) fn on_archive(&mut self, job: JobId, waiting: Vec<Waiting>, reply: StoreReply) {
+        match reply {
+            StoreReply::Item(item) => {
+                let Ok(archive) = serde_json::from_str::<ArchiveRecord>(item.value.get()) else {
+                    tracing::error!(job = %job, "unreadable archive record");
+                    return;
+                };
+                self.terminal.insert(job.clone(), archive);
+                for w in waiting {
+                    if let Some(status) = self.terminal.get(&job) {
+                        self.reply(w.rid, Response::Status { code: 200, status });
+                    }
+                }
+            }
+            StoreReply::Missing => {
+                for w in waiting {
+                    // It may have been accepted since we looked: then it waits once more.
+                    if self.mirror.jobs.contains_key(&job) || self.terminal.get(&job).is_some() {
+                        self.wait(w.rid, job.clone(), w.kind);
+                        continue;
+                    }
+                    match w.kind {
+                        Wait::Impossible(why) => self.reply(w.rid, Response::refuse(422, why)),
+                        Wait::Known(spec) => {
+                            self.submissions.push_back(Submission { rid: w.rid, spec })
+                        }
+                        _ => self.reply(w.rid, Response::refuse(404, "no such job")),
+                    }
+                }
+            }
+            _ => {
+                for w in waiting {
+                    self.reply(w.rid, Response::later("the state service does not answer"));
+                }
+            }
+        }
+    }
+
+    // ---- submissions ----
+
+    fn on_submit(&mut self, rid: u64, spec: Box<JobSpec>) {
+        let job = spec.id.clone();
+        if let Some(status) = self.terminal.get(&job) {
+            return self.reply(rid, Response::Status { code: 200, status });
+        }
+        if self.mirror.jobs.contains_key(&job) {
+            return self.wait(rid, job, Wait::Known(spec));
+        }
+        if let Some(why) = self.impossible(&spec) {
+            return self.wait(rid, job, Wait::Impossible(why));
+        }
+        if self.store_away() {
+            return self.reply(rid, Response::later("the state service does not answer"));
+        }
+        self.submissions.push_back(Submission { rid, spec });
+    }
+
+    /// Why a job can never run here, if so.
+    fn impossible(&self, spec: &JobSpec) -> Option<String> {
+        let Some(team) = self.cfg.team(&spec.team) else {
+            return Some(format!("unknown team {}", spec.team));
+        };
+        let each = Resources::new(spec.cpus, spec.gpus, spec.memory_gb);
+        let fits = self.fleet.types.values().any(|t| {
+            spec.types
+                .as_ref()
+                .is_none_or(|allowed| allowed.contains(&t.name))
+                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+                && each.within(&self.fleet.total(&t.name))
+        });
+        if !fits {
+            return Some("a task fits no allowed machine type".into());
+        }
+        let n = if spec.kind == Kind::Service {
+            f64::from(spec.tasks)
+        } else {
+            1.0
+        };
+        let over = |need: f64, max: f64| max > 0.0 && need * n > max + 1e-9;
+        if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
+            return Some(format!("more than the limit of team {}", team.name));
+        }
+        None
+    }
+
+    /// Group commit: what came in while the last batch was under way goes together.
+    pub(crate) fn flush_submissions(&mut self) {
+        if self.submit_inflight || self.submissions.is_empty() {
+            return;
+        }
+        let mut batch: Vec<Submission> = Vec::new();
+        let mut txn = Txn::default();
+        let mut size = 0;
+        while let Some(next) = self.submissions.front() {
+            let job = next.spec.id.clone();
+            let record = JobRecord::new((*next.spec).clone(), self.wall_ms);
+            // Long names and type lists count; 48 KiB leave room for the guards.
+            let length = serde_json::to_string(&record).map_or(0, |s| s.len()) + 200;
+            if batch.len() >= self.cfg.txn_ops || size + length > 48 * 1024 {
+                break;
+            }
+            let Some(next) = self.submissions.pop_front() else {
+                break;
+            };
+            if length > self.cfg.value_bytes {
+                self.reply(
+                    next.rid,
+                    Response::refuse(400, "the description is too long"),
+                );
+                continue;
+            }
+            if batch.iter().any(|b| b.spec.id == job) {
+                self.wait(next.rid, job, Wait::Known(next.spec));
+                continue;
+            }
+            size += length;
+            txn.guard(job_key(&job), Version(0));
+            txn.guard(archive_key(&job), Version(0));
+            txn.put(job_key(&job), &record, None);
+            batch.push(next);
+        }
+        if batch.is_empty() {
+            return;
+        }
+        self.submit_inflight = true;
+        let request = StoreRequest::Txn(txn.clone());
+        self.store(Lane::Submission, request, Pending::Submit { batch, txn });
+    }
+
+    pub(crate) fn on_submitted(&mut self, batch: Vec<Submission>, txn: Txn, reply: StoreReply) {
+        self.submit_inflight = false;
+        match reply {
+            StoreReply::Committed(version) => {
+                for (submission, change) in batch.into_iter().zip(txn.changes) {
+                    let job = submission.spec.id.clone();
+                    let (Some(key), Some(value)) = (change.put, change.value) else {
+                        continue;
+                    };
+                    self.mirror.set(&key, value.get(), version);
+                    self.locals.entry(job.clone()).or_insert_with(|| Local {
+                        seen: self.now,
+                        ..Local::default()
+                    });
+                    tracing::info!(job = %job, tasks = submission.spec.tasks, "accepted");
+                    let status = status(&job, JobState::Queued, 0, 0);
+                    self.reply(submission.rid, Response::Status { code: 201, status });
+                }
+                self.dirty = true;
+                self.tell(None, Message::Changed);
+            }
+            StoreReply::Conflict(failed) => {
+                // Those that are known get their state; the others go again.
+                for submission in batch.into_iter().rev() {
+                    let job = submission.spec.id.clone();
+                    let known = [job_key(&job), archive_key(&job)];
+                    if failed.iter().any(|f| known.contains(f)) {
+                        self.wait(submission.rid, job, Wait::Known(submission.spec));
+                    } else {
+                        self.submissions.push_front(submission);
+                    }
+                }
+            }
+            StoreReply::Unknown => {
+                // It may be accepted yet; the users are told to ask again, which will tell.
+                for submission in &batch {
+                    self.reply(
+                        submission.rid,
+                        Response::later("the outcome is not known yet"),
+                    );
+                }
+                self.want_sync = true;
+            }
+            StoreReply::Bad(why) => {
+                for submission in batch {
+                    self.reply(submission.rid, Response::refuse(503, why.clone()));
+                }
+            }
+            _ => {
+                for submission in batch {
+                    self.reply(
+                        submission.rid,
+                        Response::later("the state service does not answer"),
+                    );
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -0,0 +1,526 @@
+//! From the mirror and the fleet to reservations, promises and claims.
+
+use crate::effects::Effect;
+use crate::jobs::Wish;
+use crate::node::{Node, Pending};
+use cleatfold_plan::chart::FOREVER;
+use cleatfold_plan::order::{Guarantees, Place};
+use cleatfold_plan::{plan, MachineChart, Request, Reservation, Resources};
+use cleatfold_wire::job::Kind;
+use cleatfold_wire::mesh::{Message, Promise};
+use cleatfold_wire::worker::TaskState;
+use cleatfold_wire::*;
+use std::collections::{BTreeMap, HashMap};
+
+/// Reservations per pool and planning. What lies beyond waits unreserved.
+const CHUNKS: usize = 400;
+const PLAN_MS: u64 = 100;
+const PROMISE_MS: u64 = 500;
+/// A promise not renewed for so long is forgotten.
+const PROMISE_AGE_MS: u64 = 3000;
+
+type Finishes = Vec<(Ms, u32)>;
+
+#[derive(Default)]
+pub(crate) struct Plans {
+    planned: Ms,
+    told: Ms,
+    /// Promises of other nodes' pools: when they came, and per job when tasks finish.
+    remote: HashMap<PoolId, (Token, Ms, HashMap<JobId, Finishes>)>,
+}
+
+impl Plans {
+    pub fn remote(&mut self, pool: PoolId, token: Token, now: Ms, promises: Vec<Promise>) {
+        let jobs = promises
+            .into_iter()
+            .map(|p| {
+                let finishes = p
+                    .finishes
+                    .iter()
+                    .map(|&(ms, n)| (now.plus(ms), n))
+                    .collect();
+                (JobId::new(p.job), finishes)
+            })
+            .collect();
+        self.remote.insert(pool, (token, now, jobs));
+    }
+}
+
+/// One own pool's chart as planned.
+struct PoolPlan {
+    pool: PoolId,
+    token: Token,
+    machines: Vec<MachineId>,
+    open: Vec<bool>,
+    jobs: Vec<JobId>,
+    reservations: Vec<Reservation>,
+}
+
+impl Node {
+    /// The queue in order, with what of each job is unclaimed.
+    pub(crate) fn queue(&self) -> Vec<(JobId, u32)> {
+        let mut arrivals: Vec<(&JobId, &crate::mirror::Live)> = self
+            .mirror
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.record.aborted)
+            .collect();
+        arrivals.sort_by(|a, b| (a.1.record.accepted_ms, a.0).cmp(&(b.1.record.accepted_ms, b.0)));
+        let mut guarantees = Guarantees::new(
+            self.cfg
+                .teams
+                .iter()
+                .filter(|t| t.cpus > 0.0 || t.gpus > 0.0)
+                .map(|t| (t.name.clone(), t.cpus, t.gpus)),
+        );
+        let mut places: Vec<(Place, u32)> = Vec::new();
+        for (id, live) in arrivals {
+            let spec = &live.record.spec;
+            let unfinished = live.each.times(spec.tasks.saturating_sub(live.done));
+            let within = guarantees.admit(&spec.team, unfinished);
+            if live.unclaimed() > 0 {
+                let place = Place {
+                    urgency: spec.urgency,
+                    beyond_guarantee: !within,
+                    arrival: live.record.accepted_ms,
+                    id: id.clone(),
+                };
+                places.push((place, live.unclaimed()));
+            }
+        }
+        places.sort();
+        places.into_iter().map(|(p, n)| (p.id, n)).collect()
+    }
+
+    pub(crate) fn plan_if_due(&mut self) {
+        if !self.dirty || self.now.since(self.plans.planned) < PLAN_MS {
+            return;
+        }
+        self.plans.planned = self.now;
+        self.dirty = false;
+        if self.owned_since.is_empty() {
+            return;
+        }
+        let queue = self.queue();
+        let plans = self.chart_pools(&queue);
+        self.start_what_is_due(&queue, &plans);
+        self.tell_promises(&plans);
+    }
+
+    fn chart_pools(&mut self, queue: &[(JobId, u32)]) -> Vec<PoolPlan> {
+        let pools: Vec<(PoolId, Token)> = self
+            .owned_since
+            .iter()
+            .filter(|(p, _)| !self.hinted.contains_key(p))
+            .map(|(p, o)| (p.clone(), o.0))
+            .collect();
+        let mut plans = Vec::new();
+        for (pool, token) in pools {
+            let (machines, mut charts) = self.charts(&pool, token);
+            if machines.is_empty() {
+                continue;
+            }
+            let open = charts.iter().map(|c| c.open).collect();
+            let (jobs, requests) = self.requests_for(&pool, queue, &machines);
+            let reservations = plan(&mut charts, &requests, CHUNKS);
+            plans.push(PoolPlan {
+                pool,
+                token,
+                machines,
+                open,
+                jobs,
+                reservations,
+            });
+        }
+        plans
+    }
+
+    /// A silent machine gets nothing new.
+    pub(crate) fn silent_ms(&self) -> u64 {
+        self.cfg.report_ms * 5 / 2 + 500
+    }
+
+    fn charts(&self, pool: &PoolId, token: Token) -> (Vec<MachineId>, Vec<MachineChart>) {
+        let now = self.now;
+        let total = self.fleet.total(&pool.machine_type);
+        let Some(kind) = self.fleet.types.get(&pool.machine_type) else {
+            return (vec![], vec![]);
+        };
+        let mut ids = Vec::new();
+        let mut charts = Vec::new();
+        for (id, m) in self.fleet.in_pool(pool) {
+            if m.draining || m.deleting || m.notice.is_some() {
+                continue;
+            }
+            let mut chart = match &m.report {
+                Some(r) => {
+                    if now.since(r.at) > self.silent_ms() {
+                        continue;
+                    }
+                    // The gate: this worker has seen our token, so nobody else commands it.
+                    MachineChart::new(now, total, m.spot, r.token == token)
+                }
+                None => {
+                    let booted = m.born.plus_s(kind.boot_s * 1.2);
+                    if now.since(m.born) > (kind.boot_s * 3000.0) as u64 + 10_000 {
+                        continue;
+                    }
+                    MachineChart::new(booted.max(now.plus(2000)), total, m.spot, false)
+                }
+            };
+            chart.fetch_gb_per_s = kind.fetch_gb_per_s;
+            chart.images = m
+                .images
+                .iter()
+                .map(|(image, _)| (image.clone(), now))
+                .collect();
+            for ((job, ix), _) in self.mirror.claims.get(id).into_iter().flatten() {
+                let Some(live) = self.mirror.jobs.get(job) else {
+                    continue;
+                };
+                let end = self.expected_end(m, job, *ix, live);
+                chart.carve(now, end, live.each);
+                let image = &live.record.spec.image;
+                if !chart.images.iter().any(|(i, _)| i == image) {
+                    let ready = now.plus_s(live.record.spec.image_gb / kind.fetch_gb_per_s);
+                    chart.images.push((image.clone(), ready));
+                }
+            }
+            ids.push(id.clone());
+            charts.push(chart);
+        }
+        (ids, charts)
+    }
+
+    fn run_ms(&self, live: &crate::mirror::Live) -> u64 {
+        if live.record.spec.kind == Kind::Service {
+            return FOREVER;
+        }
+        (live.record.spec.estimate_s * 1000.0) as u64
+    }
+
+    /// When a claimed task should be over. Past its estimate it gets a later end: a fifth of
+    /// what it has run, and never less than two seconds, from now.
+    fn expected_end(
+        &self,
+        machine: &crate::fleet::Machine,
+        job: &JobId,
+        ix: TaskIx,
+        live: &crate::mirror::Live,
+    ) -> Ms {
+        let run = self.run_ms(live);
+        if run >= FOREVER {
+            return Ms(FOREVER);
+        }
+        let saved = self
+            .locals
+            .get(job)
+            .and_then(|l| l.saved.get(&ix))
+            .copied()
+            .unwrap_or(0);
+        let run = run.saturating_sub(saved);
+        match machine.started.get(&(job.clone(), ix)) {
+            Some(start) => {
+                let end = start.plus(run);
+                if end > self.now {
+                    end
+                } else {
+                    let ran = self.now.since(*start);
+                    self.now.plus((ran / 5).max(2000))
+                }
+            }
+            None => self.now.plus(run + self.cfg.report_ms),
+        }
+    }
+
+    pub(crate) fn may_use(&self, live: &crate::mirror::Live, pool: &PoolId) -> bool {
+        let spec = &live.record.spec;
+        spec.types
+            .as_ref()
+            .is_none_or(|t| t.contains(&pool.machine_type))
+            && spec.zone.as_ref().is_none_or(|z| *z == pool.zone)
+            && (!spec.one_zone || live.record.zone.as_ref().is_none_or(|z| *z == pool.zone))
+            && live.each.within(&self.fleet.total(&pool.machine_type))
+    }
+
+    fn requests_for(
+        &self,
+        pool: &PoolId,
+        queue: &[(JobId, u32)],
+        machines: &[MachineId],
+    ) -> (Vec<JobId>, Vec<Request>) {
+        let mut jobs = Vec::new();
+        let mut requests = Vec::new();
+        for (id, unclaimed) in queue {
+            let Some(live) = self.mirror.jobs.get(id) else {
+                continue;
+            };
+            if !self.may_use(live, pool) {
+                continue;
+            }
+            let local = self.locals.get(id);
+            if local.is_some_and(|l| l.hold_until > self.now) {
+                continue;
+            }
+            // Not sent anywhere yet (a new job, or no leader): any pool may plan for it.
+            let sent = local.map(|l| l.pools.as_slice()).unwrap_or_default();
+            if !sent.is_empty() && !sent.contains(pool) {
+                continue;
+            }
+            let spec = &live.record.spec;
+            let mut tasks = *unclaimed;
+            if spec.spread {
+                let here = self.claimed_in_zone(id, &pool.zone);
+                tasks = tasks.min(spec.tasks.div_ceil(2).saturating_sub(here));
+            }
+            if tasks == 0 {
+                continue;
+            }
+            let avoid = machines
+                .iter()
+                .enumerate()
+                .filter(|(_, m)| {
+                    self.fleet.machines.get(*m).is_some_and(|m| {
+                        m.failed_jobs.contains(id) && self.now.since(m.failed_at) < 60_000
+                    })
+                })
+                .map(|(i, _)| i)
+                .collect();
+            jobs.push(id.clone());
+            requests.push(Request {
+                each: live.each,
+                tasks,
+                run_ms: self.run_ms(live),
+                image: spec.image.clone(),
+                image_gb: spec.image_gb,
+                spot: spec.spot,
+                avoid,
+            });
+        }
+        (jobs, requests)
+    }
+
+    fn claimed_in_zone(&self, job: &JobId, zone: &ZoneId) -> u32 {
+        self.mirror
+            .tables(job)
+            .flat_map(|t| &t.claims)
+            .filter(|g| PoolId::parse(&g.pool).is_some_and(|p| p.zone == *zone))
+            .map(|g| g.tasks.len() as u32)
+            .sum()
+    }
+
+    /// Turns reservations that start now into wishes to claim, soonest finish first, unless
+    /// the other pools promise to have all that is left of the job done earlier.
+    fn start_what_is_due(&mut self, queue: &[(JobId, u32)], plans: &[PoolPlan]) {
+        let mut left: HashMap<&JobId, u32> = queue.iter().map(|(id, n)| (id, *n)).collect();
+        let mut due: Vec<(usize, &Reservation)> = Vec::new();
+        for (p, plan) in plans.iter().enumerate() {
+            due.extend(
+                plan.reservations
+                    .iter()
+                    .filter(|r| r.start <= self.now && plan.open[r.machine])
+                    .map(|r| (p, r)),
+            );
+        }
+        due.sort_by_key(|(p, r)| (r.finish, *p, r.machine));
+        let mut usage = self.limited_usage();
+        for (p, r) in due {
+            let plan = &plans[p];
+            let job = &plan.jobs[r.request];
+            let remaining = left.get(job).copied().unwrap_or(0);
+            if remaining == 0 {
+                continue;
+            }
+            let local = self.locals.get(job);
+            if local.is_some_and(|l| l.busy || l.stale_since.is_some() || l.not_before > self.now) {
+                // One transaction per job at a time; the plan comes round again.
+                self.dirty = true;
+                continue;
+            }
+            if self.promised_elsewhere(plans, p, job, r.finish) >= remaining {
+                continue;
+            }
+            let Some(live) = self.mirror.jobs.get(job) else {
+                continue;
+            };
+            let mut tasks = r.tasks.min(remaining);
+            let team = live.record.spec.team.clone();
+            let each = live.each;
+            tasks = self.within_slice(&team, &plan.pool, &mut usage, each, tasks);
+            if tasks == 0 {
+                continue;
+            }
+            left.insert(job, remaining - tasks);
+            let wish = Wish {
+                machine: plan.machines[r.machine].clone(),
+                pool: plan.pool.clone(),
+                token: plan.token,
+                tasks,
+            };
+            let job = job.clone();
+            self.local(&job).wishes.push(wish);
+        }
+    }
+
+    /// How many of the job's tasks other pools promise to finish clearly before `finish`.
+    fn promised_elsewhere(&self, plans: &[PoolPlan], here: usize, job: &JobId, finish: Ms) -> u32 {
+        // Estimates are rough: an earlier finish must be clearly earlier.
+        let slack = 1000 + finish.since(self.now) / 10;
+        let before = Ms(finish.0.saturating_sub(slack));
+        let own: u32 = plans
+            .iter()
+            .enumerate()
+            .filter(|(p, _)| *p != here)
+            .flat_map(|(_, plan)| {
+                plan.reservations
+                    .iter()
+                    .filter(move |r| plan.jobs[r.request] == *job && r.finish <= before)
+            })
+            .map(|r| r.tasks)
+            .sum();
+        let remote: u32 = self
+            .plans
+            .remote
+            .iter()
+            .filter(|(pool, (token, at, _))| {
+                self.now.since(*at) < PROMISE_AGE_MS
+                    && self
+                        .mirror
+                        .pools
+                        .get(*pool)
+                        .is_some_and(|h| h.token <= *token)
+                    && !self.owned_since.contains_key(*pool)
+            })
+            .filter_map(|(_, (_, _, jobs))| jobs.get(job))
+            .flat_map(|f| f.iter().filter(|(at, _)| *at <= before))
+            .map(|f| f.1)
+            .sum();
+        own + remote
+    }
+
+    fn tell_promises(&mut self, plans: &[PoolPlan]) {
+        if self.now.since(self.plans.told) < PROMISE_MS {
+            return;
+        }
+        self.plans.told = self.now;
+        for plan in plans {
+            let mut jobs: BTreeMap<&JobId, Vec<(u64, u32)>> = BTreeMap::new();
+            for r in &plan.reservations {
+                let finishes = jobs.entry(&plan.jobs[r.request]).or_default();
+                if finishes.len() < 6 {
+                    finishes.push((r.finish.since(self.now), r.tasks));
+                }
+            }
+            let promises = jobs
+                .into_iter()
+                .take(200)
+                .map(|(job, finishes)| Promise {
+                    job: job.to_string(),
+                    finishes,
+                })
+                .collect();
+            let message = Message::Promises {
+                pool: plan.pool.to_string(),
+                token: plan.token.0,
+                promises,
+            };
+            self.out.push(Effect::Mesh { to: None, message });
+        }
+    }
+
+    // ---- limits ----
+
+    /// What limited teams use in our pools: every claim counts until it is proven over, and
+    /// so does every claim that is on its way.
+    pub(crate) fn limited_usage(&self) -> HashMap<(TeamId, String), Resources> {
+        let mut usage: HashMap<(TeamId, String), Resources> = HashMap::new();
+        let limited = |team: &TeamId| self.cfg.team(team).is_some_and(|t| t.is_limited());
+        for (id, live) in &self.mirror.jobs {
+            let team = &live.record.spec.team;
+            if live.claimed == 0 || !limited(team) {
+                continue;
+            }
+            for group in self.mirror.tables(id).flat_map(|t| &t.claims) {
+                *usage.entry((team.clone(), group.pool.clone())).or_default() +=
+                    live.each.times(group.tasks.len() as u32);
+            }
+        }
+        for (id, local) in &self.locals {
+            for wish in &local.wishes {
+                if let Some(live) = self.mirror.jobs.get(id) {
+                    let key = (live.record.spec.team.clone(), wish.pool.to_string());
+                    *usage.entry(key).or_default() += live.each.times(wish.tasks);
+                }
+            }
+        }
+        for pending in self.ops.values() {
+            let Pending::Job(tx) = pending else { continue };
+            let Some(live) = self.mirror.jobs.get(&tx.job) else {
+                continue;
+            };
+            for (pool, tasks) in tx.claimed() {
+                let key = (live.record.spec.team.clone(), pool);
+                *usage.entry(key).or_default() += live.each.times(tasks);
+            }
+        }
+        usage
+    }
+
+    /// How many of `tasks` the pool's slice of the team's limit still holds; books them.
+    fn within_slice(
+        &self,
+        team: &TeamId,
+        pool: &PoolId,
+        usage: &mut HashMap<(TeamId, String), Resources>,
+        each: Resources,
+        tasks: u32,
+    ) -> u32 {
+        let Some(limit) = self.cfg.team(team) else {
+            return 0;
+        };
+        if !limit.is_limited() {
+            return tasks;
+        }
+        if self.limits_blind.is_some() || self.slices_inflight.contains(team) {
+            return 0;
+        }
+        let name = pool.to_string();
+        let slice = self
+            .mirror
+            .slices
+            .get(team)
+            .and_then(|s| s.1.pools.get(&name))
+            .copied();
+        let (cpus, gpus) = slice.unwrap_or_default();
+        let used = usage.entry((team.clone(), name)).or_default();
+        let far = i64::MAX / 4;
+        let room = Resources {
+            cpus: if limit.cpus_max > 0.0 {
+                cpus - used.cpus
+            } else {
+                far
+            },
+            gpus: if limit.gpus_max > 0.0 {
+                gpus - used.gpus
+            } else {
+                far
+            },
+            memory: far,
+        };
+        let n = room.fits(&each, tasks);
+        *used += each.times(n);
+        n
+    }
+
+    /// Whether every task a machine reports is a claim of ours: then its room is known.
+    pub(crate) fn is_idle(&self, id: &MachineId) -> bool {
+        let claimed = self.mirror.claims.get(id).is_some_and(|c| !c.is_empty());
+        let running = self
+            .fleet
+            .machines
+            .get(id)
+            .and_then(|m| m.report.as_ref())
+            .is_some_and(|r| r.tasks.iter().any(|t| t.state != TaskState::Exited));
+        !claimed && !running
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-control/src/workers.rs
@@ -0,0 +1,362 @@
+//! Dealings with workers: reports, and what the answers order.
+//!
+//! A `launch` is ordered only for a claim that stands in the state service under our present
+//! token, and only in the answer to a report that does not list the task: such an answer is
+//! never executed late. A claim is released only on proof, all of which is in this file and
+//! in `leader.rs` (deletion): an exit; absence from a report whose worker had seen our token;
+//! a lease that has provably run out; deletion or failure of the machine.
+
+use crate::effects::*;
+use crate::fleet::{LastReport, Machine};
+use crate::jobs::End;
+use crate::node::Node;
+use cleatfold_wire::worker::{Command, Exit, Report, ReportReply, TaskState};
+use cleatfold_wire::*;
+use std::collections::HashSet;
+
+/// How a worker that cannot reach its owner shows: it comes to us again and again.
+const STRAY_WINDOW_MS: u64 = 15_000;
+
+impl Node {
+    pub(crate) fn on_report(&mut self, rid: u64, report: Report) {
+        if !self.serving() || self.fleet.is_deleted(&report.machine) {
+            return self.reply(rid, Response::Redirect(None));
+        }
+        let pool = PoolId {
+            machine_type: report.machine_type.clone(),
+            zone: report.zone.clone(),
+        };
+        let Some(token) = self.my_token(&pool) else {
+            return self.redirect(rid, &report.machine, &pool);
+        };
+        if report.token > token {
+            // Someone was dealt the pool after us and we have not read it yet.
+            self.want_sync = true;
+            return self.reply(rid, Response::Redirect(None));
+        }
+        // Cut off from the state service: past this, a cancellation told elsewhere could no
+        // longer be met if we went on renewing leases.
+        let deaf = self.fresh.map_or(u64::MAX, |f| self.now.since(f));
+        if deaf > self.cfg.deaf_limit_ms() {
+            return self.reply(rid, Response::later("cut off from the state service"));
+        }
+        let known = self
+            .fleet
+            .machines
+            .get(&report.machine)
+            .and_then(|m| m.report.as_ref());
+        if known.is_some_and(|k| (k.session, k.seq) >= (report.session, report.seq)) {
+            // Late or repeated. Its worker does not wait for this answer any more.
+            return self.reply(rid, Response::later("an old report"));
+        }
+        let commands = self.take_report(&pool, token, report);
+        self.reply(rid, Response::Worker(ReportReply { token, commands }));
+    }
+
+    fn redirect(&mut self, rid: u64, machine: &MachineId, pool: &PoolId) {
+        let owner = match (self.hinted.get(pool), self.mirror.pools.get(pool)) {
+            (Some((node, _)), _) => Some(node.clone()),
+            (None, Some(h)) if h.owner != self.cfg.me => Some(h.owner.clone()),
+            _ => None,
+        };
+        if let Some(owner) = &owner {
+            let now = self.now;
+            let times = self.strays.entry(machine.clone()).or_default();
+            times.push_back(now);
+            while times
+                .front()
+                .is_some_and(|t| now.since(*t) > STRAY_WINDOW_MS)
+            {
+                times.pop_front();
+            }
+            let live = self.mirror.nodes.contains_key(owner);
+            // Once may be a hand-over. Again means that it cannot get through to its owner.
+            if times.len() >= 2 && now.since(times[0]) > 1200 {
+                tracing::info!(machine = %machine, pool = %pool, owner = %owner, live, "stray worker");
+                self.take_over(pool.clone());
+            }
+        }
+        self.reply(rid, Response::Redirect(owner));
+    }
+
+    fn take_report(&mut self, pool: &PoolId, token: Token, report: Report) -> Vec<Command> {
+        let now = self.now;
+        let id = report.machine.clone();
+        self.strays.remove(&id);
+        let spot = report.spot;
+        let machine = self
+            .fleet
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Machine::new(pool.clone(), spot, now));
+        machine.pool = pool.clone();
+        machine.spot = spot;
+        machine.answered = Some((now, token));
+        machine.notice = report.notice_s.map(|s| now.plus_s(s));
+        let seen_our_token = report.token == token;
+        let first = machine.report.as_ref().is_none_or(|r| r.token != token);
+        if machine
+            .report
+            .as_ref()
+            .is_some_and(|r| r.session != report.session)
+        {
+            machine.started.clear();
+        }
+        let draining = machine.draining || machine.deleting;
+        let notice = machine.notice;
+
+        let mut commands = Vec::new();
+        let mut listed: HashSet<(JobId, TaskIx)> = HashSet::new();
+        let alive: HashSet<TaskId> = report
+            .tasks
+            .iter()
+            .filter(|t| t.state != TaskState::Exited)
+            .map(|t| t.task.clone())
+            .collect();
+        let mut ends = Vec::new();
+        for t in &report.tasks {
+            let claim = self.mirror.claim(&id, &t.task);
+            let ours = claim.is_some_and(|c| c.attempt == t.attempt);
+            if ours {
+                listed.insert((t.task.job.clone(), t.task.ix));
+            }
+            let aborted = self
+                .mirror
+                .jobs
+                .get(&t.task.job)
+                .is_none_or(|j| j.record.aborted);
+            match (t.state, ours) {
+                (TaskState::Exited, false) => commands.push(Command::Forget {
+                    task: t.task.clone(),
+                    attempt: t.attempt,
+                }),
+                // Another attempt of the same task is still here: the claim must stand until
+                // that is gone, or the task could be started elsewhere beside it.
+                (TaskState::Exited, true) if alive.contains(&t.task) => {}
+                (TaskState::Exited, true) => {
+                    let exit = t.why.unwrap_or(Exit::Other);
+                    ends.push((t.clone(), exit));
+                }
+                (_, ours) if !ours || aborted => commands.push(Command::Stop {
+                    task: t.task.clone(),
+                    attempt: t.attempt,
+                    grace_s: 0.0,
+                }),
+                (state, _) => {
+                    if state == TaskState::Running {
+                        self.note_running(&id, &t.task);
+                    }
+                    if let (Some(at), TaskState::Running | TaskState::Fetching) = (notice, state) {
+                        self.stop_for_notice(&mut commands, t, at);
+                    }
+                }
+            }
+        }
+        // Claims the worker does not list.
+        let claims = self.mirror.claims.get(&id).cloned().unwrap_or_default();
+        let mut lost = Vec::new();
+        let mut starts = Vec::new();
+        for ((job, ix), claim) in claims {
+            if listed.contains(&(job.clone(), ix)) {
+                continue;
+            }
+            let task = TaskId {
+                job: job.clone(),
+                ix,
+            };
+            if alive.contains(&task) {
+                // Another attempt of it is here and is being stopped.
+                continue;
+            }
+            let aborted = self.mirror.jobs.get(&job).is_none_or(|j| j.record.aborted);
+            let ending = self.locals.get(&job).is_some_and(|l| {
+                l.ends
+                    .iter()
+                    .any(|e| e.ix == ix && e.attempt == claim.attempt)
+            });
+            if ending {
+                // Its exit was seen and is being recorded: it must not start again.
+                continue;
+            }
+            if claim.token == token {
+                // Ours under this token. Absent from a report newer than any answer of ours
+                // that ordered it: not there. Order it (again), or give it up.
+                if aborted || draining || notice.is_some() {
+                    lost.push((job, ix, claim.attempt, "not started"));
+                } else {
+                    starts.push(Command::Start {
+                        task,
+                        attempt: claim.attempt,
+                    });
+                }
+            } else if seen_our_token {
+                // The former owner can order nothing here any more, and it is not here.
+                lost.push((job, ix, claim.attempt, "not there after take-over"));
+            }
+        }
+        for (job, ix, attempt, why) in lost {
+            let end = End {
+                machine: id.clone(),
+                ix,
+                attempt,
+                done: false,
+                why,
+            };
+            self.end(&job, end);
+        }
+        for (t, exit) in ends {
+            self.on_exit(&id, &t.task, t.attempt, exit, t.saved == Some(true));
+        }
+        // The machine's room is counted by what it runs, so room is made before it is used.
+        commands.append(&mut starts);
+
+        let changed = {
+            let Some(machine) = self.fleet.machines.get_mut(&id) else {
+                return commands;
+            };
+            let last = LastReport {
+                session: report.session,
+                seq: report.seq,
+                token: report.token,
+                at: now,
+                tasks: report.tasks,
+            };
+            let changed = machine
+                .report
+                .as_ref()
+                .is_none_or(|r| r.tasks != last.tasks);
+            machine.report = Some(last);
+            machine.listed = Some(cloud_running());
+            changed
+        };
+        if changed || first {
+            self.dirty = true;
+        }
+        commands
+    }
+
+    fn note_running(&mut self, id: &MachineId, task: &TaskId) {
+        let Some(live) = self.mirror.jobs.get(&task.job) else {
+            return;
+        };
+        let (image, gb) = (live.record.spec.image.clone(), live.record.spec.image_gb);
+        let now = self.now;
+        let Some(machine) = self.fleet.machines.get_mut(id) else {
+            return;
+        };
+        let key = (task.job.clone(), task.ix);
+        if machine.started.contains_key(&key) {
+            return;
+        }
+        machine.started.insert(key, now);
+        let cache = self
+            .fleet
+            .types
+            .get(&machine.pool.machine_type)
+            .map_or(f64::INFINITY, |t| t.cache_gb);
+        machine.use_image(&image, gb, cache);
+    }
+
+    /// The cloud takes the machine at `at`: a task that can save and has still to be told to
+    /// is stopped in time; one that cannot runs on, for it may end before.
+    fn stop_for_notice(
+        &self,
+        commands: &mut Vec<Command>,
+        t: &cleatfold_wire::worker::TaskReport,
+        at: Ms,
+    ) {
+        let Some(live) = self.mirror.jobs.get(&t.task.job) else {
+            return;
+        };
+        let spec = &live.record.spec;
+        if t.state == TaskState::Fetching {
+            commands.push(Command::Stop {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: 0.0,
+            });
+            return;
+        }
+        if spec.checkpoint_s <= 0.0 {
+            return;
+        }
+        // The notice may be half of what it says, and the next report is a while off.
+        let left = at.since(self.now) as f64 / 1000.0;
+        if left / 2.0 <= spec.save_s + 2.0 * self.cfg.report_ms as f64 / 1000.0 + 1.0 {
+            commands.push(Command::Stop {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: spec.save_s + 1.0,
+            });
+        }
+    }
+
+    fn on_exit(
+        &mut self,
+        id: &MachineId,
+        task: &TaskId,
+        attempt: Attempt,
+        exit: Exit,
+        saved: bool,
+    ) {
+        let now = self.now;
+        let started = self
+            .fleet
+            .machines
+            .get_mut(id)
+            .and_then(|m| m.started.remove(&(task.job.clone(), task.ix)));
+        let Some(live) = self.mirror.jobs.get(&task.job) else {
+            return;
+        };
+        let interval = (live.record.spec.checkpoint_s * 1000.0) as u64;
+        let local = self.local(&task.job);
+        let known = local
+            .ends
+            .iter()
+            .any(|e| e.ix == task.ix && e.attempt == attempt);
+        if known {
+            return;
+        }
+        if exit != Exit::Done && interval > 0 {
+            let ran = started.map_or(0, |s| now.since(s));
+            let kept = if saved {
+                ran
+            } else {
+                ran / interval * interval
+            };
+            *local.saved.entry(task.ix).or_default() += kept;
+        }
+        match exit {
+            Exit::Error => {
+                local.failures += 1;
+                let pause = 1000u64 << local.failures.min(6);
+                local.hold_until = now.plus(pause);
+                local.last_why = Some(format!("task {} failed on {id}", task.ix));
+                tracing::info!(job = %task.job, task = task.ix.0, attempt = attempt.0, machine = %id, "task failed");
+                if let Some(machine) = self.fleet.machines.get_mut(id) {
+                    machine.failed_jobs.insert(task.job.clone());
+                    machine.failed_at = now;
+                    if machine.failed_jobs.len() >= 3 && !machine.draining {
+                        tracing::info!(machine = %id, "several jobs failed here: returning it");
+                        machine.draining = true;
+                    }
+                }
+            }
+            Exit::Unknown => {
+                self.local(&task.job).hold_until = now.plus(2000);
+            }
+            Exit::Done => {
+                if let Some(machine) = self.fleet.machines.get_mut(id) {
+                    machine.failed_jobs.clear();
+                }
+            }
+            _ => {}
+        }
+        let end = Node::exit_end(id, task.ix, attempt, exit);
+        self.end(&task.job, end);
+    }
+}
+
+fn cloud_running() -> cleatfold_wire::cloud::MachineState {
+    cleatfold_wire::cloud::MachineState::Running
+}
--- /dev/null
+++ b/crates/cleatfold-plan/src/chart.rs
@@ -0,0 +1,193 @@
+//! One pool's chart: conservative backfilling over its machines.
+//!
+//! Every queued request gets its reservation in queue order, carved out of what earlier ones
+//! left; so a later request may use a hole but never moves an earlier reservation. Tasks of
+//! an array are reserved in chunks: as many as fit one machine at one time.
+
+use crate::resources::Resources;
+use cleatfold_wire::{ImageId, Ms};
+
+/// Far enough for "without end".
+pub const FOREVER: u64 = u64::MAX / 4;
+
+/// One machine's future: what is free from each step on until the next.
+#[derive(Clone, Debug)]
+pub struct MachineChart {
+    steps: Vec<(Ms, Resources)>,
+    pub spot: bool,
+    /// May start tasks at once. A machine that is still booting has a chart but is not open.
+    pub open: bool,
+    /// Images here, and when each is (or is expected to be) ready.
+    pub images: Vec<(ImageId, Ms)>,
+    pub fetch_gb_per_s: f64,
+    /// How long a task takes here against the estimate (a slow machine is above 1).
+    pub slowness: f64,
+}
+
+impl MachineChart {
+    pub fn new(ready: Ms, total: Resources, spot: bool, open: bool) -> Self {
+        Self {
+            steps: vec![(ready, total)],
+            spot,
+            open,
+            images: Vec::new(),
+            fetch_gb_per_s: 1.0,
+            slowness: 1.0,
+        }
+    }
+
+    /// Takes `what` from `from` until `until`.
+    pub fn carve(&mut self, from: Ms, until: Ms, what: Resources) {
+        let from = from.max(self.steps[0].0);
+        if until <= from {
+            return;
+        }
+        self.split(from);
+        self.split(until);
+        for (at, free) in &mut self.steps {
+            if *at >= from && *at < until {
+                *free -= what;
+            }
+        }
+    }
+
+    fn split(&mut self, at: Ms) {
+        let i = self.steps.partition_point(|s| s.0 < at);
+        if i == self.steps.len() || self.steps[i].0 != at {
+            let free = self.steps[i - 1].1;
+            self.steps.insert(i, (at, free));
+        }
+    }
+
+    /// The earliest start of at least one task, and how many can start together then.
+    pub fn earliest(&self, request: &Request, tasks: u32) -> Option<(Ms, Ms, u32)> {
+        let mut i = 0;
+        while i < self.steps.len() {
+            let start = self.steps[i].0;
+            let finish = self.finish(request, start);
+            let mut count = tasks;
+            let mut j = i;
+            while j < self.steps.len() && self.steps[j].0 < finish {
+                count = self.steps[j].1.fits(&request.each, count);
+                if count == 0 {
+                    break;
+                }
+                j += 1;
+            }
+            if count > 0 {
+                return Some((start, finish, count));
+            }
+            // The step that has no room rules out every start up to and including it.
+            i = j + 1;
+        }
+        None
+    }
+
+    /// When a task started at `start` is expected to end: image first, then the work.
+    fn finish(&self, request: &Request, start: Ms) -> Ms {
+        let fetched = start.plus_s(request.image_gb / self.fetch_gb_per_s.max(0.001));
+        let ready = match self
+            .images
+            .iter()
+            .find(|(image, _)| *image == request.image)
+        {
+            Some((_, ready)) => fetched.min(start.max(*ready)),
+            None => fetched,
+        };
+        if request.run_ms >= FOREVER {
+            return Ms(FOREVER);
+        }
+        ready.plus((request.run_ms as f64 * self.slowness) as u64)
+    }
+
+    /// What is free at the first step: used to pack busier machines first.
+    fn free_at_first(&self) -> i64 {
+        self.steps[0].1.cpus
+    }
+}
+
+/// A job's unclaimed tasks.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub each: Resources,
+    pub tasks: u32,
+    /// Expected run time left of one task; `FOREVER` for replicas.
+    pub run_ms: u64,
+    pub image: ImageId,
+    pub image_gb: f64,
+    pub spot: bool,
+    /// Machines (by index) that this job should not use.
+    pub avoid: Vec<usize>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reservation {
+    /// Index of the request.
+    pub request: usize,
+    /// Index of the machine.
+    pub machine: usize,
+    pub start: Ms,
+    pub finish: Ms,
+    pub tasks: u32,
+}
+
+/// Reserves every request in order, with at most `chunks` reservations in all. What has none
+/// left simply waits unreserved behind all the others.
+pub fn plan(
+    machines: &mut [MachineChart],
+    requests: &[Request],
+    mut chunks: usize,
+) -> Vec<Reservation> {
+    let mut out = Vec::new();
+    for (r, request) in requests.iter().enumerate() {
+        let usable =
+            |i: usize, m: &MachineChart| (request.spot || !m.spot) && !request.avoid.contains(&i);
+        let mut left = request.tasks;
+        let mut candidates: Vec<Option<(Ms, Ms, u32)>> = machines
+            .iter()
+            .enumerate()
+            .map(|(i, m)| {
+                if usable(i, m) {
+                    m.earliest(request, left)
+                } else {
+                    None
+                }
+            })
+            .collect();
+        while left > 0 && chunks > 0 {
+            let best = candidates
+                .iter()
+                .enumerate()
+                .filter_map(|(i, c)| c.map(|(start, finish, _)| (i, start, finish)))
+                .min_by_key(|&(i, start, finish)| (finish, start, machines[i].free_at_first(), i));
+            let Some((i, start, finish)) = best else {
+                break;
+            };
+            let count = candidates[i].expect("chosen above").2.min(left);
+            let m = &mut machines[i];
+            m.carve(start, finish, request.each.times(count));
+            if !m.images.iter().any(|(image, _)| *image == request.image) {
+                let ready = start.plus_s(request.image_gb / m.fetch_gb_per_s.max(0.001));
+                m.images.push((request.image.clone(), ready));
+            }
+            out.push(Reservation {
+                request: r,
+                machine: i,
+                start,
+                finish,
+                tasks: count,
+            });
+            left -= count;
+            chunks -= 1;
+            candidates[i] = if left > 0 {
+                m.earliest(request, left)
+            } else {
+                None
+            };
+        }
+        if chunks == 0 {
+            break;
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/cleatfold-plan/src/order.rs
@@ -0,0 +1,43 @@
+//! Queue order: urgency, then work within its team's guarantee, then arrival.
+
+use crate::resources::Resources;
+use cleatfold_wire::job::Urgency;
+use cleatfold_wire::{JobId, TeamId};
+use std::collections::HashMap;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    pub urgency: Urgency,
+    pub beyond_guarantee: bool,
+    pub arrival: u64,
+    pub id: JobId,
+}
+
+/// Keeps, per team, how much of the guarantee earlier unfinished jobs already fill. Feed it
+/// the team's jobs in order of arrival.
+#[derive(Debug, Default)]
+pub struct Guarantees {
+    left: HashMap<TeamId, Resources>,
+}
+
+impl Guarantees {
+    pub fn new(teams: impl IntoIterator<Item = (TeamId, f64, f64)>) -> Self {
+        let left = teams
+            .into_iter()
+            .map(|(team, cpus, gpus)| (team, Resources::new(cpus, gpus, 0.0)))
+            .collect();
+        Self { left }
+    }
+
+    /// Whether the job fits together with its team's earlier ones; takes its part if so.
+    pub fn admit(&mut self, team: &TeamId, unfinished: Resources) -> bool {
+        let Some(left) = self.left.get_mut(team) else {
+            return false;
+        };
+        let fits = unfinished.cpus <= left.cpus && unfinished.gpus <= left.gpus;
+        // An earlier job counts in full even where it does not fit itself.
+        left.cpus -= unfinished.cpus;
+        left.gpus -= unfinished.gpus;
+        fits
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-plan/src/resources.rs
@@ -0,0 +1,88 @@
+//! What tasks take and machines have, in whole thousandths so that sums are exact.
+
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Resources {
+    pub cpus: i64,
+    pub gpus: i64,
+    pub memory: i64,
+}
+
+fn thousandths(amount: f64) -> i64 {
+    (amount * 1000.0).round().clamp(0.0, 1e15) as i64
+}
+
+impl Resources {
+    pub fn new(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        Self {
+            cpus: thousandths(cpus),
+            gpus: thousandths(gpus),
+            memory: thousandths(memory_gb),
+        }
+    }
+
+    /// How many tasks taking `each` fit, at most `limit`.
+    pub fn fits(&self, each: &Resources, limit: u32) -> u32 {
+        let mut n = i64::from(limit);
+        for (have, want) in [
+            (self.cpus, each.cpus),
+            (self.gpus, each.gpus),
+            (self.memory, each.memory),
+        ] {
+            if want > 0 {
+                n = n.min(have.max(0) / want);
+            } else if have < 0 {
+                return 0;
+            }
+        }
+        n as u32
+    }
+
+    pub fn times(&self, n: u32) -> Resources {
+        let n = i64::from(n);
+        Resources {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+            memory: self.memory * n,
+        }
+    }
+
+    pub fn within(&self, limit: &Resources) -> bool {
+        self.cpus <= limit.cpus && self.gpus <= limit.gpus && self.memory <= limit.memory
+    }
+}
+
+impl Add for Resources {
+    type Output = Resources;
+    fn add(self, o: Resources) -> Resources {
+        Resources {
+            cpus: self.cpus + o.cpus,
+            gpus: self.gpus + o.gpus,
+            memory: self.memory + o.memory,
+        }
+    }
+}
+
+impl Sub for Resources {
+    type Output = Resources;
+    fn sub(self, o: Resources) -> Resources {
+        Resources {
+            cpus: self.cpus - o.cpus,
+            gpus: self.gpus - o.gpus,
+            memory: self.memory - o.memory,
+        }
+    }
+}
+
+impl AddAssign for Resources {
+    fn add_assign(&mut self, o: Resources) {
+        *self = *self + o;
+    }
+}
+
+impl SubAssign for Resources {
+    fn sub_assign(&mut self, o: Resources) {
+        *self = *self - o;
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-wire/src/ids.rs
@@ -0,0 +1,198 @@
+//! Ids, versions and times, each a type of its own so that they cannot be mixed up.
+
+use serde::{Deserialize, Serialize};
+use std::borrow::Borrow;
+use std::fmt;
+use std::sync::Arc;
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            pub fn new(text: impl AsRef<str>) -> Self {
+                Self(Arc::from(text.as_ref()))
+            }
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A job's id, chosen by its user.
+    JobId
+);
+name_type!(
+    /// A rented machine's name.
+    MachineId
+);
+name_type!(
+    /// A controller node's name.
+    NodeId
+);
+name_type!(
+    /// A machine type's name.
+    TypeId
+);
+name_type!(
+    /// A zone's name.
+    ZoneId
+);
+name_type!(
+    /// A team's name.
+    TeamId
+);
+name_type!(
+    /// An image's name.
+    ImageId
+);
+name_type!(
+    /// A class of jobs that the objectives speak of.
+    ClassId
+);
+
+/// One machine type in one zone: the unit that is dealt to controllers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PoolId {
+    pub machine_type: TypeId,
+    pub zone: ZoneId,
+}
+
+impl PoolId {
+    pub fn parse(text: &str) -> Option<Self> {
+        let (machine_type, zone) = text.split_once('/')?;
+        Some(Self {
+            machine_type: TypeId::new(machine_type),
+            zone: ZoneId::new(zone),
+        })
+    }
+}
+
+impl fmt::Display for PoolId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.machine_type, self.zone)
+    }
+}
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident($inner:ty)) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+            bitcode::Encode, bitcode::Decode,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
+number_type!(
+    /// The revision of the last change to a key of the state service (0: no such key), or of
+    /// the whole store.
+    Version(u64)
+);
+number_type!(
+    /// Who may command a worker; the version of its pool's key.
+    Token(u64)
+);
+number_type!(
+    /// The how-manyeth start of a task. Only ever grows.
+    Attempt(u64)
+);
+number_type!(
+    /// A worker's session; grows when its lease expires.
+    Session(u64)
+);
+number_type!(
+    /// Orders the messages of one worker session.
+    Seq(u64)
+);
+number_type!(
+    /// A task's number within its job.
+    TaskIx(u32)
+);
+number_type!(
+    /// A lease of the state service.
+    LeaseId(u64)
+);
+
+/// A point on this process's steady clock, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ms(pub u64);
+
+impl Ms {
+    pub fn plus_s(self, seconds: f64) -> Ms {
+        Ms(self.0 + (seconds.max(0.0) * 1000.0) as u64)
+    }
+    pub fn plus(self, ms: u64) -> Ms {
+        Ms(self.0 + ms)
+    }
+    /// Milliseconds from `earlier` to this point, 0 when it lies ahead.
+    pub fn since(self, earlier: Ms) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+/// A task of a job, spelled `run-000412/3` on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub job: JobId,
+    pub ix: TaskIx,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.ix)
+    }
+}
+
+impl Serialize for TaskId {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for TaskId {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let text = <std::borrow::Cow<'de, str>>::deserialize(d)?;
+        text.rsplit_once('/')
+            .and_then(|(job, ix)| {
+                Some(TaskId {
+                    job: JobId::new(job),
+                    ix: TaskIx(ix.parse().ok()?),
+                })
+            })
+            .ok_or_else(|| serde::de::Error::custom("a task is JOB/NUMBER"))
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-wire/src/job.rs
@@ -0,0 +1,187 @@
+//! What users send and receive.
+
+use crate::ids::*;
+use serde::{Deserialize, Serialize};
+
+/// A job may have no more tasks than this.
+pub const MAX_TASKS: u32 = 100_000;
+/// No request body may be longer.
+pub const MAX_BODY: usize = 64 * 1024;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    #[serde(rename = "batch")]
+    Array,
+    #[serde(rename = "service")]
+    Service,
+}
+
+/// Ordered: a smaller urgency goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Urgency {
+    #[serde(rename = "critical")]
+    Critical,
+    #[serde(rename = "high")]
+    High,
+    #[serde(rename = "normal")]
+    Normal,
+    #[serde(rename = "best_effort")]
+    BestEffort,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    #[serde(rename = "uid")]
+    pub id: JobId,
+    #[serde(rename = "lot")]
+    pub class: ClassId,
+    #[serde(rename = "equipe")]
+    pub team: TeamId,
+    #[serde(rename = "genre")]
+    pub kind: Kind,
+    #[serde(rename = "urgence")]
+    pub urgency: Urgency,
+    #[serde(rename = "pieces")]
+    pub tasks: u32,
+    #[serde(rename = "cores")]
+    pub cpus: f64,
+    #[serde(rename = "cards")]
+    pub gpus: f64,
+    #[serde(rename = "ramGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "gabarit")]
+    pub image: ImageId,
+    #[serde(rename = "pullGb")]
+    pub image_gb: f64,
+    #[serde(
+        rename = "gabaritsMachine",
+        default,
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub types: Option<Vec<TypeId>>,
+    #[serde(rename = "site", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<ZoneId>,
+    #[serde(rename = "oneZone")]
+    pub one_zone: bool,
+    pub spread: bool,
+    #[serde(rename = "pretees")]
+    pub spot: bool,
+    #[serde(rename = "dureePrevueS")]
+    pub estimate_s: f64,
+    #[serde(rename = "intervalleSauvegardeS")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "dureeSauvegardeS")]
+    pub save_s: f64,
+    #[serde(rename = "echeanceS", default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+}
+
+/// Why a submission is malformed.
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum SpecError {
+    #[error("the body is longer than {MAX_BODY} bytes")]
+    TooLong,
+    #[error("not a job: {0}")]
+    Json(String),
+    #[error("{field}: {problem}")]
+    Field {
+        field: &'static str,
+        problem: &'static str,
+    },
+}
+
+impl JobSpec {
+    /// Reads a submission. Everything this refuses is answered 400.
+    pub fn from_json(body: &[u8]) -> Result<JobSpec, SpecError> {
+        if body.len() > MAX_BODY {
+            return Err(SpecError::TooLong);
+        }
+        // serde would read a struct from a JSON array as well; only an object is a job.
+        if body.iter().find(|b| !b.is_ascii_whitespace()) != Some(&b'{') {
+            return Err(SpecError::Json("not an object".into()));
+        }
+        let spec: JobSpec =
+            serde_json::from_slice(body).map_err(|e| SpecError::Json(e.to_string()))?;
+        spec.check()?;
+        Ok(spec)
+    }
+
+    fn check(&self) -> Result<(), SpecError> {
+        let wrong = |field, problem| Err(SpecError::Field { field, problem });
+        if !is_job_id(self.id.as_str()) {
+            return wrong("uid", "not of the form run-000412");
+        }
+        if self.tasks == 0 || self.tasks > MAX_TASKS {
+            return wrong("pieces", "not between 1 and 100000");
+        }
+        let amounts = [
+            ("cores", self.cpus),
+            ("cards", self.gpus),
+            ("ramGb", self.memory_gb),
+            ("pullGb", self.image_gb),
+            ("dureePrevueS", self.estimate_s),
+            ("intervalleSauvegardeS", self.checkpoint_s),
+            ("dureeSauvegardeS", self.save_s),
+            ("echeanceS", self.deadline_s.unwrap_or(0.0)),
+        ];
+        for (field, amount) in amounts {
+            if !amount.is_finite() || amount < 0.0 {
+                return wrong(field, "not an amount");
+            }
+        }
+        let names = [
+            ("lot", self.class.as_str()),
+            ("equipe", self.team.as_str()),
+            ("gabarit", self.image.as_str()),
+        ];
+        for (field, name) in names {
+            if name.is_empty() || name.len() > 200 {
+                return wrong(field, "not a name");
+            }
+        }
+        Ok(())
+    }
+}
+
+/// `run-` and digits. Anything else never reaches a key of the state service.
+pub fn is_job_id(text: &str) -> bool {
+    text.strip_prefix("run-").is_some_and(|digits| {
+        (1..=20).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit())
+    })
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    #[serde(rename = "queued")]
+    Queued,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "aborted")]
+    Aborted,
+}
+
+impl JobState {
+    pub fn is_final(self) -> bool {
+        matches!(self, JobState::Done | JobState::Aborted)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobStatus {
+    #[serde(rename = "uid")]
+    pub id: JobId,
+    #[serde(rename = "etat")]
+    pub state: JobState,
+    pub done: u32,
+    pub running: u32,
+    /// Why it waits, was stopped, or failed. Not part of the protocol; for people.
+    #[serde(rename = "why", default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<String>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Problem {
+    pub error: String,
+}
--- /dev/null
+++ b/crates/cleatfold-wire/src/mesh.rs
@@ -0,0 +1,30 @@
+//! What controllers tell one another. All of it is hints: nothing a rule rests on.
+
+use bitcode::{Decode, Encode};
+
+/// When a pool promises to have finished some of a job's tasks, counted from the sending.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Promise {
+    pub job: String,
+    /// (milliseconds from now, tasks), soonest first.
+    pub finishes: Vec<(u64, u32)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Message {
+    /// The leader sends jobs to pools. Replaces what an earlier message said.
+    Assign {
+        pools: Vec<String>,
+        jobs: Vec<(String, Vec<u16>)>,
+    },
+    /// The promises of one owner's chart. Also tells who holds the pool under which token.
+    Promises {
+        pool: String,
+        token: u64,
+        promises: Vec<Promise>,
+    },
+    /// How long ago the sender last read the state service.
+    Alive { contact_age_ms: u64 },
+    /// Something was written that the others will want to read now.
+    Changed,
+}
--- /dev/null
+++ b/crates/cleatfold-wire/src/worker.rs
@@ -0,0 +1,110 @@
+//! What workers report and are told.
+
+use crate::ids::*;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TaskState {
+    Fetching,
+    Running,
+    Saving,
+    Exited,
+    /// Anything else the protocol may grow. On the machine, as far as we are concerned.
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Exit {
+    Done,
+    #[serde(rename = "halted")]
+    Stopped,
+    Error,
+    #[serde(rename = "full")]
+    NoRoom,
+    Busy,
+    #[serde(rename = "no_such")]
+    Unknown,
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TaskReport {
+    #[serde(rename = "piece")]
+    pub task: TaskId,
+    #[serde(rename = "essai")]
+    pub attempt: Attempt,
+    #[serde(rename = "etat")]
+    pub state: TaskState,
+    #[serde(rename = "motif", default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<Exit>,
+    #[serde(rename = "stored", default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<bool>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    #[serde(rename = "ruche")]
+    pub machine: MachineId,
+    #[serde(rename = "gabaritMachine")]
+    pub machine_type: TypeId,
+    #[serde(rename = "site")]
+    pub zone: ZoneId,
+    #[serde(rename = "pretees")]
+    pub spot: bool,
+    #[serde(rename = "veille")]
+    pub session: Session,
+    #[serde(rename = "numero")]
+    pub seq: Seq,
+    #[serde(rename = "jeton")]
+    pub token: Token,
+    #[serde(rename = "preavisS", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "pieces", default)]
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "consigne")]
+pub enum Command {
+    #[serde(rename = "launch")]
+    Start {
+        #[serde(rename = "piece")]
+        task: TaskId,
+        #[serde(rename = "essai")]
+        attempt: Attempt,
+    },
+    #[serde(rename = "kill")]
+    Stop {
+        #[serde(rename = "piece")]
+        task: TaskId,
+        #[serde(rename = "essai")]
+        attempt: Attempt,
+        #[serde(rename = "delaiArretS")]
+        grace_s: f64,
+    },
+    #[serde(rename = "reap")]
+    Forget {
+        #[serde(rename = "piece")]
+        task: TaskId,
+        #[serde(rename = "essai")]
+        attempt: Attempt,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReportReply {
+    #[serde(rename = "jeton")]
+    pub token: Token,
+    #[serde(rename = "consignes")]
+    pub commands: Vec<Command>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Redirect {
+    #[serde(rename = "rapporteA", default, skip_serializing_if = "Option::is_none")]
+    pub report_to: Option<NodeId>,
+}
--- /dev/null
+++ b/crates/cleatfold/src/settings.rs
@@ -0,0 +1,226 @@
+//! The platform's settings file.
+
+use cleatfold_clients::store::Budget;
+use cleatfold_control::{Config, Team};
+use cleatfold_wire::{NodeId, TeamId, ZoneId};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("{path}: {error}")]
+    Read { path: String, error: std::io::Error },
+    #[error("{path}: {error}")]
+    Parse { path: String, error: String },
+    #[error("{field}: {problem}")]
+    Field { field: String, problem: String },
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Settings {
+    #[serde(rename = "host_name")]
+    pub node: NodeId,
+    #[serde(rename = "area")]
+    pub zone: ZoneId,
+    #[serde(rename = "serve_on")]
+    pub listen: SocketAddr,
+    #[serde(rename = "mesh_addr")]
+    pub mesh_listen: SocketAddr,
+    #[serde(rename = "members", default)]
+    pub peers: Vec<Peer>,
+    pub endpoints: Endpoints,
+    pub cluster: Cluster,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Peer {
+    #[serde(rename = "host_name")]
+    pub node: NodeId,
+    #[serde(rename = "area")]
+    pub zone: ZoneId,
+    pub endpoint: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Endpoints {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Cluster {
+    pub nodes: u32,
+    pub zones: Vec<ZoneId>,
+    #[serde(default)]
+    pub teams: Vec<TeamSettings>,
+    pub workers: Workers,
+    pub state: State,
+    pub cloud: Cloud,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct TeamSettings {
+    pub name: TeamId,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct State {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Cloud {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+pub fn read(path: &Path) -> Result<Settings, SettingsError> {
+    let shown = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Read {
+        path: shown.clone(),
+        error,
+    })?;
+    let settings: Settings = toml::from_str(&text).map_err(|e| SettingsError::Parse {
+        path: shown,
+        // One line: where it is and what is wrong.
+        error: e
+            .to_string()
+            .split_whitespace()
+            .collect::<Vec<_>>()
+            .join(" "),
+    })?;
+    settings.check()?;
+    Ok(settings)
+}
+
+pub fn log_level() -> Result<tracing::Level, SettingsError> {
+    match std::env::var("LOG_LEVEL").as_deref() {
+        Err(_) | Ok("info") => Ok(tracing::Level::INFO),
+        Ok("error") => Ok(tracing::Level::ERROR),
+        Ok("debug") => Ok(tracing::Level::DEBUG),
+        Ok(other) => Err(SettingsError::Field {
+            field: "LOG_LEVEL".into(),
+            problem: format!("'{other}' is none of error, info, debug"),
+        }),
+    }
+}
+
+impl Settings {
+    fn check(&self) -> Result<(), SettingsError> {
+        let wrong = |field: &str, problem: &str| {
+            Err(SettingsError::Field {
+                field: field.into(),
+                problem: problem.into(),
+            })
+        };
+        let c = &self.cluster;
+        for (field, value) in [
+            ("cluster.workers.report_s", c.workers.report_s),
+            ("cluster.workers.lease_s", c.workers.lease_s),
+            ("cluster.workers.cancel_s", c.workers.cancel_s),
+            ("cluster.state.rps", c.state.rps),
+            ("cluster.state.write_rps", c.state.write_rps),
+            ("cluster.state.value_kb", c.state.value_kb),
+            ("cluster.cloud.rps", c.cloud.rps),
+        ] {
+            if !value.is_finite() || value <= 0.0 {
+                return wrong(field, "must be above 0");
+            }
+        }
+        if c.workers.cancel_s <= c.workers.lease_s {
+            return wrong("cluster.workers.cancel_s", "must be above lease_s");
+        }
+        if c.state.txn_ops < 4 {
+            return wrong("cluster.state.txn_ops", "must be at least 4");
+        }
+        if c.state.value_kb < 8.0 {
+            return wrong("cluster.state.value_kb", "must be at least 8");
+        }
+        if c.nodes == 0 || c.nodes as usize != self.peers.len() + 1 {
+            return wrong("cluster.nodes", "does not match members");
+        }
+        if self.peers.iter().any(|p| p.node == self.node) {
+            return wrong("members", "names this node itself");
+        }
+        if c.zones.is_empty() {
+            return wrong("cluster.zones", "is empty");
+        }
+        for team in &c.teams {
+            let field = format!("cluster.teams.{}", team.name);
+            for (guaranteed, max) in [(team.cpus, team.cpus_max), (team.gpus, team.gpus_max)] {
+                if guaranteed < 0.0 || max < 0.0 || !guaranteed.is_finite() || !max.is_finite() {
+                    return wrong(&field, "amounts must not be negative");
+                }
+                if max > 0.0 && guaranteed > max {
+                    return wrong(&field, "guarantees more than its limit");
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub fn control(&self) -> Config {
+        let c = &self.cluster;
+        let ms = |s: f64| (s * 1000.0) as u64;
+        Config {
+            me: self.node.clone(),
+            zone: self.zone.clone(),
+            peers: self
+                .peers
+                .iter()
+                .map(|p| (p.node.clone(), p.zone.clone()))
+                .collect(),
+            teams: c
+                .teams
+                .iter()
+                .map(|t| Team {
+                    name: t.name.clone(),
+                    cpus: t.cpus,
+                    gpus: t.gpus,
+                    cpus_max: t.cpus_max,
+                    gpus_max: t.gpus_max,
+                })
+                .collect(),
+            report_ms: ms(c.workers.report_s),
+            lease_ms: ms(c.workers.lease_s),
+            cancel_ms: ms(c.workers.cancel_s),
+            txn_ops: c.state.txn_ops,
+            value_bytes: (c.state.value_kb * 1024.0) as usize,
+            list_lag_ms: ms(c.cloud.list_lag_s.max(0.0)),
+            k: 2,
+            sync_ms: 250,
+            node_ttl_ms: 3000,
+            drain_target_s: 30.0,
+            idle_return_s: 60.0,
+        }
+    }
+
+    /// Our share of the state service's limits. More than an even share, for the load moves
+    /// between nodes; the service's own 429 is the backstop.
+    pub fn store_budget(&self) -> Budget {
+        let share = if self.peers.is_empty() { 0.9 } else { 0.5 };
+        Budget {
+            requests_per_s: self.cluster.state.rps * share,
+            writes_per_s: self.cluster.state.write_rps * share,
+        }
+    }
+}
