--- a/crates/cleatfold-clients/src/cloud.rs
+++ b/crates/cleatfold-clients/src/cloud.rs
@@ -32,24 +32,16 @@
     let (method, path, body) = match request {
         CloudRequest::Types => (Method::GET, "/machine_types".to_string(), None),
         CloudRequest::List { from } => {
-            let from = from
-                .as_ref()
-                .map(|f| format!("from={f}&"))
-                .unwrap_or_default();
+            let from = from.as_ref().map(|f| format!("from={f}&")).unwrap_or_default();
             (Method::GET, format!("/machines?{from}page=500"), None)
         }
-        CloudRequest::Rent(rent) => (
-            Method::POST,
-            "/machines".to_string(),
-            serde_json::to_vec(rent).ok(),
-        ),
+        CloudRequest::Rent(rent) => {
+            (Method::POST, "/machines".to_string(), serde_json::to_vec(rent).ok())
+        }
         CloudRequest::Delete(machines) => (
             Method::POST,
             "/machines/delete".to_string(),
-            serde_json::to_vec(&Machines {
-                machines: machines.clone(),
-            })
-            .ok(),
+            serde_json::to_vec(&Machines { machines: machines.clone() }).ok(),
         ),
     };
     let Ok((status, body)) = http.call(method, &path, body, Duration::from_secs(5)).await else {
@@ -59,23 +51,15 @@
         (200, CloudRequest::Types) => {
             serde_json::from_slice::<MachineTypes>(&body).map(|t| CloudReply::Types(t.types))
         }
-        (200, CloudRequest::List { .. }) => {
-            serde_json::from_slice::<MachineList>(&body).map(|l| CloudReply::List {
-                machines: l.machines,
-                more: l.more,
-            })
-        }
+        (200, CloudRequest::List { .. }) => serde_json::from_slice::<MachineList>(&body)
+            .map(|l| CloudReply::List { machines: l.machines, more: l.more }),
         (200, CloudRequest::Rent(_)) => {
             serde_json::from_slice::<Machines>(&body).map(|m| CloudReply::Rented(m.machines))
         }
         (200, CloudRequest::Delete(_)) => Ok(CloudReply::Deleted),
         (503, CloudRequest::Rent(_)) => {
             let text = String::from_utf8_lossy(&body);
-            Ok(if text.contains("capacity") {
-                CloudReply::NoCapacity
-            } else {
-                CloudReply::Failed
-            })
+            Ok(if text.contains("capacity") { CloudReply::NoCapacity } else { CloudReply::Failed })
         }
         _ => Ok(CloudReply::Failed),
     };
--- a/crates/cleatfold-clients/src/http.rs
+++ b/crates/cleatfold-clients/src/http.rs
@@ -32,10 +32,7 @@
             .pool_idle_timeout(Duration::from_secs(20))
             .pool_max_idle_per_host(8)
             .build(connector);
-        Self {
-            client,
-            base: format!("http://{endpoint}"),
-        }
+        Self { client, base: format!("http://{endpoint}") }
     }
 
     pub async fn call(
@@ -62,15 +59,9 @@
                 }
             })?;
             let status = response.status().as_u16();
-            let body = response
-                .into_body()
-                .collect()
-                .await
-                .map_err(|_| NoAnswer::Unknown)?;
+            let body = response.into_body().collect().await.map_err(|_| NoAnswer::Unknown)?;
             Ok((status, body.to_bytes()))
         };
-        tokio::time::timeout(timeout, exchange)
-            .await
-            .unwrap_or(Err(NoAnswer::Unknown))
+        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(NoAnswer::Unknown))
     }
 }
--- a/crates/cleatfold-clients/src/mesh.rs
+++ b/crates/cleatfold-clients/src/mesh.rs
@@ -13,9 +13,7 @@
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
     let _ = stream.set_nodelay(true);
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(1024 * 1024)
-        .new_codec();
+    let codec = LengthDelimitedCodec::builder().max_frame_length(1024 * 1024).new_codec();
     Framed::new(stream, codec)
 }
 
--- a/crates/cleatfold-clients/src/store.rs
+++ b/crates/cleatfold-clients/src/store.rs
@@ -76,14 +76,8 @@
 ) {
     let http = Http::new(&endpoint);
     let mut waiting: BinaryHeap<Reverse<Waiting>> = BinaryHeap::new();
-    let mut requests = Bucket {
-        level: budget.requests_per_s * 0.5,
-        rate: budget.requests_per_s,
-    };
-    let mut changes = Bucket {
-        level: budget.writes_per_s * 0.5,
-        rate: budget.writes_per_s,
-    };
+    let mut requests = Bucket { level: budget.requests_per_s * 0.5, rate: budget.requests_per_s };
+    let mut changes = Bucket { level: budget.writes_per_s * 0.5, rate: budget.writes_per_s };
     let mut filled = Instant::now();
     let mut number = 0;
     loop {
@@ -92,17 +86,11 @@
                 return;
             };
             number += 1;
-            waiting.push(Reverse(Waiting {
-                rank: (job.lane, number),
-                job,
-            }));
+            waiting.push(Reverse(Waiting { rank: (job.lane, number), job }));
         }
         while let Ok(job) = queue.try_recv() {
             number += 1;
-            waiting.push(Reverse(Waiting {
-                rank: (job.lane, number),
-                job,
-            }));
+            waiting.push(Reverse(Waiting { rank: (job.lane, number), job }));
         }
         let now = Instant::now();
         let passed = now.duration_since(filled).as_secs_f64();
@@ -115,11 +103,7 @@
         let cost = writes(&next.job.request);
         // A large transaction may overdraw the budget; it is paid back before the next one.
         let short = (1.0 - requests.level) / requests.rate;
-        let short = short.max(if cost > 0.0 {
-            (1.0 - changes.level) / changes.rate
-        } else {
-            0.0
-        });
+        let short = short.max(if cost > 0.0 { (1.0 - changes.level) / changes.rate } else { 0.0 });
         if short > 0.0 {
             let pause = Duration::from_secs_f64(short.clamp(0.005, 0.1));
             tokio::select! {
@@ -154,38 +138,23 @@
     let (method, path, body) = match &request {
         StoreRequest::Get(key) => (Method::GET, format!("/store/{key}"), None),
         StoreRequest::List { prefix, from } => {
-            let from = from
-                .as_ref()
-                .map(|f| format!("&from={f}"))
-                .unwrap_or_default();
-            (
-                Method::GET,
-                format!("/store?prefix={prefix}{from}&page=500"),
-                None,
-            )
+            let from = from.as_ref().map(|f| format!("&from={f}")).unwrap_or_default();
+            (Method::GET, format!("/store?prefix={prefix}{from}&page=500"), None)
         }
         StoreRequest::Txn(txn) => (Method::POST, "/multi".into(), serde_json::to_vec(txn).ok()),
-        StoreRequest::Grant { ttl_ms } => (
-            Method::POST,
-            "/grants".into(),
-            serde_json::to_vec(&Grant { ttl_ms: *ttl_ms }).ok(),
-        ),
-        StoreRequest::Extend(lease) => (
-            Method::POST,
-            format!("/grants/{lease}/extend"),
-            Some(b"{}".to_vec()),
-        ),
-        StoreRequest::Changes { prefix, from } => (
-            Method::GET,
-            format!("/follow?prefix={prefix}&from={from}&holdMs=0"),
-            None,
-        ),
+        StoreRequest::Grant { ttl_ms } => {
+            (Method::POST, "/grants".into(), serde_json::to_vec(&Grant { ttl_ms: *ttl_ms }).ok())
+        }
+        StoreRequest::Extend(lease) => {
+            (Method::POST, format!("/grants/{lease}/extend"), Some(b"{}".to_vec()))
+        }
+        StoreRequest::Changes { prefix, from } => {
+            (Method::GET, format!("/follow?prefix={prefix}&from={from}&holdMs=0"), None)
+        }
     };
     let mut tries = 0;
     loop {
-        let outcome = http
-            .call(method.clone(), &path, body.clone(), TIMEOUT)
-            .await;
+        let outcome = http.call(method.clone(), &path, body.clone(), TIMEOUT).await;
         return match outcome {
             Ok((200, body)) => read(&request, &body),
             Ok((404, _)) => StoreReply::Missing,
--- a/crates/cleatfold-control/src/config.rs
+++ b/crates/cleatfold-control/src/config.rs
@@ -53,8 +53,6 @@
     /// side, the answer that was on its way, and late timers.
     pub fn deaf_limit_ms(&self) -> u64 {
         let drift = self.cancel_ms / 1000;
-        self.cancel_ms
-            .saturating_sub(self.lease_ms)
-            .saturating_sub(2000 + drift)
+        self.cancel_ms.saturating_sub(self.lease_ms).saturating_sub(2000 + drift)
     }
 }
--- a/crates/cleatfold-control/src/effects.rs
+++ b/crates/cleatfold-control/src/effects.rs
@@ -45,18 +45,10 @@
 
 impl Response {
     pub fn later(why: &str) -> Self {
-        Response::Refusal {
-            code: 503,
-            why: why.into(),
-            retry_after_s: Some(2),
-        }
+        Response::Refusal { code: 503, why: why.into(), retry_after_s: Some(2) }
     }
     pub fn refuse(code: u16, why: impl Into<String>) -> Self {
-        Response::Refusal {
-            code,
-            why: why.into(),
-            retry_after_s: None,
-        }
+        Response::Refusal { code, why: why.into(), retry_after_s: None }
     }
 }
 
--- a/crates/cleatfold-control/src/fleet.rs
+++ b/crates/cleatfold-control/src/fleet.rs
@@ -105,10 +105,7 @@
         self.types
             .values()
             .flat_map(|t| {
-                t.zones.iter().map(|z| PoolId {
-                    machine_type: t.name.clone(),
-                    zone: z.clone(),
-                })
+                t.zones.iter().map(|z| PoolId { machine_type: t.name.clone(), zone: z.clone() })
             })
             .collect()
     }
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -78,10 +78,7 @@
 
 impl Node {
     pub(crate) fn local(&mut self, job: &JobId) -> &mut Local {
-        let now = self.now;
-        self.locals
-            .entry(job.clone())
-            .or_insert_with(|| Local::default())
+        self.locals.entry(job.clone()).or_default()
     }
 
     /// The job left the live records: answer who waits by the archive.
@@ -100,11 +97,7 @@
 
     pub(crate) fn end(&mut self, job: &JobId, end: End) {
         let local = self.local(job);
-        if !local
-            .ends
-            .iter()
-            .any(|e| e.ix == end.ix && e.attempt == end.attempt)
-        {
+        if !local.ends.iter().any(|e| e.ix == end.ix && e.attempt == end.attempt) {
             local.ends.push(end);
         }
     }
@@ -138,11 +131,7 @@
         };
         local.busy = true;
         let txn = tx.txn.clone();
-        self.store(
-            Lane::Claim,
-            StoreRequest::Txn(txn),
-            Pending::Job(Box::new(tx)),
-        );
+        self.store(Lane::Claim, StoreRequest::Txn(txn), Pending::Job(Box::new(tx)));
     }
 
     fn build(&mut self, job: &JobId) -> Option<JobTx> {
@@ -173,10 +162,7 @@
             match part {
                 None => &mut record.table,
                 Some(part) => touched.entry(part).or_insert_with(|| {
-                    parts
-                        .and_then(|p| p.get(&part))
-                        .map(|p| p.1.clone())
-                        .unwrap_or_default()
+                    parts.and_then(|p| p.get(&part)).map(|p| p.1.clone()).unwrap_or_default()
                 }),
             }
         }
@@ -289,10 +275,7 @@
         let over = finished || (record.aborted && claimed == 0);
         let mut part_results = Vec::new();
         for (part, table) in touched {
-            let version = parts
-                .and_then(|p| p.get(&part))
-                .map(|p| p.0)
-                .unwrap_or_default();
+            let version = parts.and_then(|p| p.get(&part)).map(|p| p.0).unwrap_or_default();
             txn.guard(part_key(job, part), version);
             let (from, to) = record.part_range(part);
             if table.done_count() == to - from {
@@ -307,22 +290,10 @@
                 part_results.push((part, Some(table)));
             }
         }
-        let withdrawals = if local.abort {
-            std::mem::take(&mut local.withdrawals)
-        } else {
-            vec![]
-        };
+        let withdrawals = if local.abort { std::mem::take(&mut local.withdrawals) } else { vec![] };
         let result = if over {
-            let state = if finished {
-                JobState::Done
-            } else {
-                JobState::Aborted
-            };
-            let archive = ArchiveRecord {
-                state,
-                done,
-                team: record.spec.team.clone(),
-            };
+            let state = if finished { JobState::Done } else { JobState::Aborted };
+            let archive = ArchiveRecord { state, done, team: record.spec.team.clone() };
             txn.put(archive_key(job), &archive, None);
             txn.delete(job_key(job));
             Outcome::Ended(archive)
@@ -330,19 +301,12 @@
             if !head_changed && txn.changes.is_empty() {
                 // Nothing left to say (an abort of an aborted job, an end that was settled).
                 local.abort = false;
-                let state = if record.aborted {
-                    JobState::Aborted
-                } else {
-                    JobState::Queued
-                };
+                let state = if record.aborted { JobState::Aborted } else { JobState::Queued };
                 let body = status(job, state, done, claimed);
                 for rid in withdrawals {
                     self.out.push(Effect::Reply {
                         rid,
-                        response: Response::Status {
-                            code: 200,
-                            status: body.clone(),
-                        },
+                        response: Response::Status { code: 200, status: body.clone() },
                     });
                 }
                 return None;
@@ -431,12 +395,7 @@
             );
         }
         for (part, table) in tx.parts {
-            let current = self
-                .mirror
-                .parts
-                .get(&job)
-                .and_then(|p| p.get(&part))
-                .map(|p| p.0);
+            let current = self.mirror.parts.get(&job).and_then(|p| p.get(&part)).map(|p| p.0);
             match table {
                 Some(table) if current.unwrap_or_default() < version => {
                     self.mirror.install_part(job.clone(), part, table, version)
@@ -453,11 +412,7 @@
                 if !record.aborted {
                     state = JobState::Running;
                 }
-                let head = tx
-                    .txn
-                    .changes
-                    .iter()
-                    .any(|c| c.put.as_deref() == Some(&job_key(&job)));
+                let head = tx.txn.changes.iter().any(|c| c.put.as_deref() == Some(&job_key(&job)));
                 if head && current.is_some_and(|c| c < version) {
                     self.mirror.install_job(job.clone(), *record, version);
                 }
@@ -475,13 +430,7 @@
         }
         let body = status(&job, state, done, claimed);
         for rid in tx.withdrawals {
-            self.reply(
-                rid,
-                Response::Status {
-                    code: 200,
-                    status: body.clone(),
-                },
-            );
+            self.reply(rid, Response::Status { code: 200, status: body.clone() });
         }
         let gone = !self.mirror.jobs.contains_key(&job);
         let local = self.local(&job);
@@ -512,22 +461,14 @@
             Exit::Unknown => "unknown job",
             Exit::Other => "other",
         };
-        End {
-            machine: machine.clone(),
-            ix,
-            attempt,
-            done: exit == Exit::Done,
-            why,
-        }
+        End { machine: machine.clone(), ix, attempt, done: exit == Exit::Done, why }
     }
 }
 
 impl JobTx {
     /// The claims this transaction would make: pool and number of tasks.
     pub(crate) fn claimed(&self) -> impl Iterator<Item = (String, u32)> + '_ {
-        self.claims
-            .iter()
-            .map(|(wish, tasks)| (wish.pool.to_string(), tasks.len() as u32))
+        self.claims.iter().map(|(wish, tasks)| (wish.pool.to_string(), tasks.len() as u32))
     }
 
     pub(crate) fn names(&self, machine: &MachineId) -> bool {
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -22,10 +22,7 @@
 
 impl Node {
     fn is_leader(&self) -> bool {
-        self.mirror
-            .leader
-            .as_ref()
-            .is_some_and(|(id, _)| *id == self.cfg.me)
+        self.mirror.leader.as_ref().is_some_and(|(id, _)| *id == self.cfg.me)
     }
 
     pub(crate) fn lead(&mut self) {
@@ -59,10 +56,7 @@
     // ---- dealing ----
 
     fn live(&self, holding: &crate::mirror::Holding) -> bool {
-        self.mirror
-            .nodes
-            .get(&holding.owner)
-            .is_some_and(|n| n.0 == holding.incarnation)
+        self.mirror.nodes.get(&holding.owner).is_some_and(|n| n.0 == holding.incarnation)
     }
 
     fn deal(&mut self, since: Ms) {
@@ -91,15 +85,11 @@
         orphans.sort_by(|a, b| weight(b).total_cmp(&weight(a)).then(a.cmp(b)));
         let average = pools.iter().map(&weight).sum::<f64>() / held.len() as f64;
         for pool in orphans {
-            let home = self.home_of(&pool.zone).filter(|n| {
-                held.get(n)
-                    .is_some_and(|h| *h + weight(&pool) <= average * 1.3 + 1.0)
-            });
-            let to = home.or_else(|| {
-                held.iter()
-                    .min_by(|a, b| a.1.total_cmp(b.1))
-                    .map(|(n, _)| n.clone())
-            });
+            let home = self
+                .home_of(&pool.zone)
+                .filter(|n| held.get(n).is_some_and(|h| *h + weight(&pool) <= average * 1.3 + 1.0));
+            let to = home
+                .or_else(|| held.iter().min_by(|a, b| a.1.total_cmp(b.1)).map(|(n, _)| n.clone()));
             if let Some(to) = to {
                 *held.entry(to.clone()).or_default() += weight(&pool);
                 moves.push((pool, to));
@@ -132,16 +122,9 @@
         let gap = most.1 - least.1;
         pools
             .iter()
+            .filter(|p| self.mirror.pools.get(*p).is_some_and(|h| h.owner == *most.0))
             .filter(|p| {
-                self.mirror
-                    .pools
-                    .get(*p)
-                    .is_some_and(|h| h.owner == *most.0)
-            })
-            .filter(|p| {
-                self.dealt
-                    .get(*p)
-                    .is_none_or(|at| self.now.since(*at) > SETTLE_MS)
+                self.dealt.get(*p).is_none_or(|at| self.now.since(*at) > SETTLE_MS)
                     && weight(p) < gap * 0.75
             })
             .max_by(|a, b| weight(a).total_cmp(&weight(b)).then(b.cmp(a)))
@@ -154,22 +137,11 @@
             let Some((incarnation, _)) = self.mirror.nodes.get(&node).copied() else {
                 continue;
             };
-            let version = self
-                .mirror
-                .pools
-                .get(&pool)
-                .map(|h| Version(h.token.0))
-                .unwrap_or_default();
+            let version =
+                self.mirror.pools.get(&pool).map(|h| Version(h.token.0)).unwrap_or_default();
             tracing::info!(%pool, %node, "dealing");
             txn.guard(pool_key(&pool), version);
-            txn.put(
-                pool_key(&pool),
-                &PoolRecord {
-                    owner: node,
-                    incarnation,
-                },
-                None,
-            );
+            txn.put(pool_key(&pool), &PoolRecord { owner: node, incarnation }, None);
             self.dealt.insert(pool, self.now);
         }
         if txn.changes.is_empty() {
@@ -181,10 +153,7 @@
 
     /// Workers of a pool come here since they cannot reach its owner: take it.
     pub(crate) fn take_over(&mut self, pool: PoolId) {
-        let recent = self
-            .dealt
-            .get(&pool)
-            .is_some_and(|at| self.now.since(*at) < SETTLE_MS);
+        let recent = self.dealt.get(&pool).is_some_and(|at| self.now.since(*at) < SETTLE_MS);
         if recent || self.dealing.is_some() || !self.in_contact() {
             return;
         }
@@ -200,13 +169,7 @@
         let pools = self.fleet.pools();
         let index: HashMap<&PoolId, usize> =
             pools.iter().enumerate().map(|(i, p)| (p, i)).collect();
-        let mut loads = vec![
-            Load {
-                work: 0.0,
-                processors: 0.0
-            };
-            pools.len()
-        ];
+        let mut loads = vec![Load { work: 0.0, processors: 0.0 }; pools.len()];
         for m in self.fleet.machines.values() {
             if m.draining || m.deleting || m.notice.is_some() {
                 continue;
@@ -217,9 +180,7 @@
         }
         for (id, live) in &self.mirror.jobs {
             for group in self.mirror.tables(id).flat_map(|t| &t.claims) {
-                let Some(&i) = PoolId::parse(&group.pool)
-                    .as_ref()
-                    .and_then(|p| index.get(p))
+                let Some(&i) = PoolId::parse(&group.pool).as_ref().and_then(|p| index.get(p))
                 else {
                     continue;
                 };
@@ -233,9 +194,8 @@
             let Some(live) = self.mirror.jobs.get(id) else {
                 continue;
             };
-            let eligible: Vec<usize> = (0..pools.len())
-                .filter(|&i| self.may_use(live, &pools[i]))
-                .collect();
+            let eligible: Vec<usize> =
+                (0..pools.len()).filter(|&i| self.may_use(live, &pools[i])).collect();
             let current: Vec<usize> = self
                 .locals
                 .get(id)
@@ -255,13 +215,7 @@
         }
         let names: Vec<String> = pools.iter().map(|p| p.to_string()).collect();
         let me = self.cfg.me.clone();
-        self.tell(
-            None,
-            Message::Assign {
-                pools: names.clone(),
-                jobs: assigned.clone(),
-            },
-        );
+        self.tell(None, Message::Assign { pools: names.clone(), jobs: assigned.clone() });
         self.on_assign(&me, names, assigned);
     }
 
@@ -280,10 +234,8 @@
             if !self.mirror.jobs.contains_key(&job) {
                 continue;
             }
-            let chosen: Vec<PoolId> = chosen
-                .iter()
-                .filter_map(|&i| pools.get(i as usize).cloned().flatten())
-                .collect();
+            let chosen: Vec<PoolId> =
+                chosen.iter().filter_map(|&i| pools.get(i as usize).cloned().flatten()).collect();
             let local = self.local(&job);
             if local.pools != chosen {
                 local.pools = chosen;
@@ -305,11 +257,7 @@
             let spec = &live.record.spec;
             let tasks = f64::from(live.unclaimed()) + f64::from(live.claimed);
             parallel += tasks * spec.cpus;
-            let run = if spec.kind == Kind::Service {
-                1e6
-            } else {
-                spec.estimate_s.max(1.0)
-            };
+            let run = if spec.kind == Kind::Service { 1e6 } else { spec.estimate_s.max(1.0) };
             let w = (f64::from(live.unclaimed()) + 0.5 * f64::from(live.claimed)) * spec.cpus * run;
             work += w;
             if spec.spot {
@@ -335,10 +283,7 @@
                 continue;
             };
             let useful = queue.iter().any(|(id, _)| {
-                self.mirror
-                    .jobs
-                    .get(id)
-                    .is_some_and(|live| self.may_use(live, &pool))
+                self.mirror.jobs.get(id).is_some_and(|live| self.may_use(live, &pool))
             });
             if !useful || kind.cpus <= 0.0 {
                 continue;
@@ -377,10 +322,7 @@
         };
         tracing::info!(%pool, spot, count, wanted, supply, "renting");
         self.rent_inflight += 1;
-        let pending = Pending::Rent {
-            request: request.clone(),
-            tries: 0,
-        };
+        let pending = Pending::Rent { request: request.clone(), tries: 0 };
         self.cloud(CloudRequest::Rent(request), pending);
     }
 
@@ -417,10 +359,9 @@
             (Some(Pending::List { sent }), CloudReply::List { machines, more }) => {
                 self.list_acc.extend(machines);
                 match self.list_acc.last().map(|m| m.id.clone()) {
-                    Some(last) if more => self.cloud(
-                        CloudRequest::List { from: Some(last) },
-                        Pending::List { sent },
-                    ),
+                    Some(last) if more => {
+                        self.cloud(CloudRequest::List { from: Some(last) }, Pending::List { sent })
+                    }
                     _ => {
                         self.list_asked = false;
                         self.list_at = Some(self.now);
@@ -453,10 +394,8 @@
     }
 
     fn on_rent(&mut self, request: RentRequest, tries: u32, reply: CloudReply) {
-        let pool = PoolId {
-            machine_type: request.machine_type.clone(),
-            zone: request.zone.clone(),
-        };
+        let pool =
+            PoolId { machine_type: request.machine_type.clone(), zone: request.zone.clone() };
         match reply {
             CloudReply::Rented(machines) => {
                 self.rent_inflight -= 1;
@@ -479,10 +418,7 @@
             }
             // The same name again rents nothing twice.
             _ if tries < 3 => {
-                let pending = Pending::Rent {
-                    request: request.clone(),
-                    tries: tries + 1,
-                };
+                let pending = Pending::Rent { request: request.clone(), tries: tries + 1 };
                 self.cloud(CloudRequest::Rent(request), pending);
             }
             _ => {
@@ -498,20 +434,14 @@
             if self.fleet.is_deleted(&listed.id) {
                 continue;
             }
-            let pool = PoolId {
-                machine_type: listed.machine_type.clone(),
-                zone: listed.zone.clone(),
-            };
-            let machine = self
-                .fleet
-                .machines
-                .entry(listed.id.clone())
-                .or_insert_with(|| {
-                    self.dirty = true;
-                    let mut m = Machine::new(pool.clone(), listed.spot, now);
-                    m.born = Ms(now.0.saturating_sub((listed.age_s * 1000.0) as u64));
-                    m
-                });
+            let pool =
+                PoolId { machine_type: listed.machine_type.clone(), zone: listed.zone.clone() };
+            let machine = self.fleet.machines.entry(listed.id.clone()).or_insert_with(|| {
+                self.dirty = true;
+                let mut m = Machine::new(pool.clone(), listed.spot, now);
+                m.born = Ms(now.0.saturating_sub((listed.age_s * 1000.0) as u64));
+                m
+            });
             machine.listed_at = now;
             // An old list must not take a reporting machine back to booting.
             if machine.report.is_none() || listed.state == MachineState::Failed {
@@ -532,13 +462,7 @@
         let claims = self.mirror.claims.get(id).cloned().unwrap_or_default();
         tracing::info!(machine = %id, tasks = claims.len(), why, "machine gone");
         for ((job, ix), claim) in claims {
-            let end = End {
-                machine: id.clone(),
-                ix,
-                attempt: claim.attempt,
-                done: false,
-                why,
-            };
+            let end = End { machine: id.clone(), ix, attempt: claim.attempt, done: false, why };
             self.end(&job, end);
         }
     }
@@ -571,11 +495,8 @@
             let Some(&(token, since)) = self.owned_since.get(&m.pool) else {
                 continue;
             };
-            let boot_ms = self
-                .fleet
-                .types
-                .get(&m.pool.machine_type)
-                .map_or(60_000.0, |t| t.boot_s * 1000.0);
+            let boot_ms =
+                self.fleet.types.get(&m.pool.machine_type).map_or(60_000.0, |t| t.boot_s * 1000.0);
             if m.listed == Some(MachineState::Failed) {
                 delete.push(id);
                 continue;
@@ -597,9 +518,8 @@
                         // the token it has seen, so nobody else can have renewed it.
                         let lease = self.cfg.lease_ms + self.cfg.lease_ms / 500 + 500;
                         let seen = m.report.as_ref().is_some_and(|r| r.token == token);
-                        let answered = m
-                            .answered
-                            .is_some_and(|(at, t)| t == token && now.since(at) > lease);
+                        let answered =
+                            m.answered.is_some_and(|(at, t)| t == token && now.since(at) > lease);
                         if seen && answered {
                             expired.push(id.clone());
                         }
@@ -642,14 +562,8 @@
     fn delete(&mut self, ids: Vec<MachineId>) {
         let mut batch = Vec::new();
         for id in ids {
-            let promised = self
-                .locals
-                .values()
-                .any(|l| l.wishes.iter().any(|w| w.machine == id))
-                || self
-                    .ops
-                    .values()
-                    .any(|p| matches!(p, Pending::Job(tx) if tx.names(&id)));
+            let promised = self.locals.values().any(|l| l.wishes.iter().any(|w| w.machine == id))
+                || self.ops.values().any(|p| matches!(p, Pending::Job(tx) if tx.names(&id)));
             if promised || batch.len() >= 100 {
                 continue;
             }
@@ -661,9 +575,7 @@
         }
         if !batch.is_empty() {
             tracing::info!(machines = ?batch, "deleting");
-            let pending = Pending::Delete {
-                machines: batch.clone(),
-            };
+            let pending = Pending::Delete { machines: batch.clone() };
             self.cloud(CloudRequest::Delete(batch), pending);
         }
     }
@@ -695,10 +607,7 @@
                 self.on_machine_gone(&id, "machine deleted");
             } else {
                 let now = self.now;
-                self.fleet
-                    .machines
-                    .entry(id)
-                    .or_insert_with(|| Machine::new(pool, false, now));
+                self.fleet.machines.entry(id).or_insert_with(|| Machine::new(pool, false, now));
             }
         }
     }
@@ -731,11 +640,7 @@
             if live.record.aborted || live.unclaimed() == 0 {
                 continue;
             }
-            let sent = self
-                .locals
-                .get(id)
-                .map(|l| l.pools.as_slice())
-                .unwrap_or_default();
+            let sent = self.locals.get(id).map(|l| l.pools.as_slice()).unwrap_or_default();
             for (i, (pool, _, _)) in own.iter().enumerate() {
                 if self.may_use(live, pool) && (sent.is_empty() || sent.contains(pool)) {
                     *need.entry((live.record.spec.team.clone(), i)).or_default() +=
@@ -743,59 +648,27 @@
                 }
             }
         }
-        let teams: Vec<crate::config::Team> = self
-            .cfg
-            .teams
-            .iter()
-            .filter(|t| t.is_limited())
-            .cloned()
-            .collect();
+        let teams: Vec<crate::config::Team> =
+            self.cfg.teams.iter().filter(|t| t.is_limited()).cloned().collect();
         for team in teams {
             if self.slices_inflight.contains(&team.name) {
                 continue;
             }
-            let (version, record) = self
-                .mirror
-                .slices
-                .get(&team.name)
-                .cloned()
-                .unwrap_or_default();
+            let (version, record) = self.mirror.slices.get(&team.name).cloned().unwrap_or_default();
             let max = Resources::new(team.cpus_max, team.gpus_max, 0.0);
-            let taken = record
-                .pools
-                .values()
-                .fold((0, 0), |a, s| (a.0 + s.0, a.1 + s.1));
+            let taken = record.pools.values().fold((0, 0), |a, s| (a.0 + s.0, a.1 + s.1));
             let mut free = (max.cpus - taken.0, max.gpus - taken.1);
             let mut new = record.clone();
             let mut txn = Txn::default();
             for (i, (pool, token, capacity)) in own.iter().enumerate() {
                 let name = pool.to_string();
-                let used = usage
-                    .get(&(team.name.clone(), name.clone()))
-                    .copied()
-                    .unwrap_or_default();
-                let asked = need
-                    .get(&(team.name.clone(), i))
-                    .copied()
-                    .unwrap_or_default();
+                let used =
+                    usage.get(&(team.name.clone(), name.clone())).copied().unwrap_or_default();
+                let asked = need.get(&(team.name.clone(), i)).copied().unwrap_or_default();
                 let old = record.pools.get(&name).copied().unwrap_or_default();
                 let part = (
-                    resize(
-                        old.0,
-                        used.cpus,
-                        asked.cpus,
-                        capacity.cpus,
-                        &mut free.0,
-                        max.cpus,
-                    ),
-                    resize(
-                        old.1,
-                        used.gpus,
-                        asked.gpus,
-                        capacity.gpus,
-                        &mut free.1,
-                        max.gpus,
-                    ),
+                    resize(old.0, used.cpus, asked.cpus, capacity.cpus, &mut free.0, max.cpus),
+                    resize(old.1, used.gpus, asked.gpus, capacity.gpus, &mut free.1, max.gpus),
                 );
                 if part != old {
                     new.pools.insert(name, part);
@@ -810,11 +683,7 @@
             txn.put(slice_key(&team.name), &new, None);
             self.slices_inflight.insert(team.name.clone());
             let request = StoreRequest::Txn(txn.clone());
-            let pending = Pending::Slice {
-                team: team.name,
-                txn,
-                record: new,
-            };
+            let pending = Pending::Slice { team: team.name, txn, record: new };
             self.store(Lane::Claim, request, pending);
         }
     }
@@ -830,12 +699,7 @@
         match reply {
             StoreReply::Committed(version) => {
                 self.slices_inflight.remove(&team);
-                let current = self
-                    .mirror
-                    .slices
-                    .get(&team)
-                    .map(|s| s.0)
-                    .unwrap_or_default();
+                let current = self.mirror.slices.get(&team).map(|s| s.0).unwrap_or_default();
                 if current < version {
                     self.mirror.slices.insert(team, (version, record));
                 }
@@ -844,13 +708,7 @@
             // It may yet be executed: until that is decided, nothing is claimed by it.
             StoreReply::Unknown | StoreReply::Refused => {
                 let request = txn.clone();
-                self.again(
-                    op,
-                    Lane::Claim,
-                    request,
-                    Pending::Slice { team, txn, record },
-                    300,
-                );
+                self.again(op, Lane::Claim, request, Pending::Slice { team, txn, record }, 300);
             }
             _ => {
                 // What stands is known after the next reading; until then it counts as blind.
--- a/crates/cleatfold-control/src/mirror.rs
+++ b/crates/cleatfold-control/src/mirror.rs
@@ -23,10 +23,7 @@
 
 impl Live {
     pub fn unclaimed(&self) -> u32 {
-        self.record
-            .spec
-            .tasks
-            .saturating_sub(self.done + self.claimed)
+        self.record.spec.tasks.saturating_sub(self.done + self.claimed)
     }
 }
 
@@ -89,8 +86,7 @@
             Key::Slice(team) => self.slices.get(team).map(|s| s.0),
             Key::Leader => self.leader.as_ref().map(|l| l.1),
         };
-        live.or_else(|| self.removed.get(key).copied())
-            .unwrap_or_default()
+        live.or_else(|| self.removed.get(key).copied()).unwrap_or_default()
     }
 
     pub fn set(&mut self, key: &str, value: &str, version: Version) {
@@ -105,14 +101,8 @@
             }
             Key::Pool(id) => serde_json::from_str(value).map(|r: PoolRecord| {
                 let token = Token(version.0);
-                self.pools.insert(
-                    id,
-                    Holding {
-                        owner: r.owner,
-                        incarnation: r.incarnation,
-                        token,
-                    },
-                );
+                self.pools
+                    .insert(id, Holding { owner: r.owner, incarnation: r.incarnation, token });
             }),
             Key::Node(id) => serde_json::from_str(value).map(|r: NodeRecord| {
                 self.nodes.insert(id, (r.incarnation, version));
@@ -179,25 +169,13 @@
         }
         self.index(&id, &record.table);
         let each = record.each();
-        self.jobs.insert(
-            id.clone(),
-            Live {
-                record,
-                version,
-                each,
-                done: 0,
-                claimed: 0,
-            },
-        );
+        self.jobs.insert(id.clone(), Live { record, version, each, done: 0, claimed: 0 });
         self.recount(&id);
     }
 
     pub fn install_part(&mut self, id: JobId, part: u32, table: Table, version: Version) {
         self.index_replacing(&id, part, &table);
-        self.parts
-            .entry(id.clone())
-            .or_default()
-            .insert(part, (version, table));
+        self.parts.entry(id.clone()).or_default().insert(part, (version, table));
         self.recount(&id);
     }
 
@@ -213,10 +191,8 @@
         let Some(live) = self.jobs.get_mut(id) else {
             return;
         };
-        let (mut done, mut claimed) = (
-            live.record.table.done_count(),
-            live.record.table.claim_count(),
-        );
+        let (mut done, mut claimed) =
+            (live.record.table.done_count(), live.record.table.claim_count());
         for part in &live.record.parts_done {
             let (from, to) = live.record.part_range(*part);
             done += to - from;
@@ -232,13 +208,7 @@
         for group in &table.claims {
             let on = self.claims.entry(group.machine.clone()).or_default();
             for (ix, attempt) in &group.tasks {
-                on.insert(
-                    (id.clone(), *ix),
-                    Claim {
-                        attempt: *attempt,
-                        token: group.token,
-                    },
-                );
+                on.insert((id.clone(), *ix), Claim { attempt: *attempt, token: group.token });
             }
         }
     }
@@ -257,20 +227,13 @@
     }
 
     pub fn claim(&self, machine: &MachineId, task: &TaskId) -> Option<Claim> {
-        self.claims
-            .get(machine)?
-            .get(&(task.job.clone(), task.ix))
-            .copied()
+        self.claims.get(machine)?.get(&(task.job.clone(), task.ix)).copied()
     }
 
     /// Every table of a job: its own, or its parts'.
     pub fn tables<'a>(&'a self, id: &JobId) -> impl Iterator<Item = &'a Table> + 'a {
         let own = self.jobs.get(id).map(|j| &j.record.table);
-        let parts = self
-            .parts
-            .get(id)
-            .into_iter()
-            .flat_map(|p| p.values().map(|p| &p.1));
+        let parts = self.parts.get(id).into_iter().flat_map(|p| p.values().map(|p| &p.1));
         own.into_iter().chain(parts)
     }
 }
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -159,11 +159,7 @@
 
 impl Node {
     pub fn new(cfg: Config) -> Self {
-        let peers = cfg
-            .peers
-            .iter()
-            .map(|(id, _)| (id.clone(), Peer { contact: None }))
-            .collect();
+        let peers = cfg.peers.iter().map(|(id, _)| (id.clone(), Peer { contact: None })).collect();
         Self {
             cfg,
             now: Ms(0),
@@ -304,8 +300,7 @@
 
     /// The state service has answered lately.
     pub(crate) fn in_contact(&self) -> bool {
-        self.fresh
-            .is_some_and(|f| self.now.since(f) < 2500 + self.cfg.sync_ms)
+        self.fresh.is_some_and(|f| self.now.since(f) < 2500 + self.cfg.sync_ms)
     }
 
     pub(crate) fn is_ready(&self) -> bool {
@@ -314,10 +309,8 @@
         }
         // In an outage that all share, leaving would only lose the users their connections.
         // Where a peer still reads the state service, the users are better served there.
-        let peer_in_contact = self
-            .peers
-            .values()
-            .any(|p| p.contact.is_some_and(|c| self.now.since(c) < 4000));
+        let peer_in_contact =
+            self.peers.values().any(|p| p.contact.is_some_and(|c| self.now.since(c) < 4000));
         self.in_contact() || !peer_in_contact
     }
 
@@ -333,21 +326,13 @@
                 self.lease_asked = true;
                 self.lease_sent = self.now;
                 let sent = self.now;
-                self.store(
-                    Lane::Renewal,
-                    StoreRequest::Grant { ttl_ms },
-                    Pending::Grant { sent },
-                );
+                self.store(Lane::Renewal, StoreRequest::Grant { ttl_ms }, Pending::Grant { sent });
             }
             Some(lease) if self.now.since(self.lease_sent) >= ttl_ms / 3 => {
                 self.lease_asked = true;
                 self.lease_sent = self.now;
                 let sent = self.now;
-                self.store(
-                    Lane::Renewal,
-                    StoreRequest::Extend(lease),
-                    Pending::Extend { sent },
-                );
+                self.store(Lane::Renewal, StoreRequest::Extend(lease), Pending::Extend { sent });
             }
             _ => {}
         }
@@ -358,11 +343,7 @@
             if self.loaded && known.map(|n| n.0) != Some(incarnation) {
                 self.enlisting = true;
                 let mut txn = Txn::default();
-                txn.put(
-                    node_key(&self.cfg.me),
-                    &NodeRecord { incarnation },
-                    Some(lease),
-                );
+                txn.put(node_key(&self.cfg.me), &NodeRecord { incarnation }, Some(lease));
                 self.store(Lane::Renewal, StoreRequest::Txn(txn), Pending::Enlist);
             }
         }
@@ -376,10 +357,8 @@
                 self.loading = true;
                 self.sync_sent = self.now;
                 let sent = self.now;
-                let request = StoreRequest::List {
-                    prefix: LIVE.into(),
-                    from: self.load_from.clone(),
-                };
+                let request =
+                    StoreRequest::List { prefix: LIVE.into(), from: self.load_from.clone() };
                 self.store(Lane::Renewal, request, Pending::Load { sent });
             }
             return;
@@ -398,10 +377,7 @@
             self.sync_inflight = true;
             self.want_sync = false;
             self.sync_sent = self.now;
-            let request = StoreRequest::Changes {
-                prefix: LIVE.into(),
-                from: self.mirror.applied,
-            };
+            let request = StoreRequest::Changes { prefix: LIVE.into(), from: self.mirror.applied };
             let sent = self.now;
             self.store(Lane::Renewal, request, Pending::Sync { sent });
         }
@@ -581,8 +557,7 @@
     /// Sends a transaction with an unknown outcome once more: the same guards decide.
     pub(crate) fn again(&mut self, op: u64, lane: Lane, txn: Txn, pending: Pending, ms: u64) {
         self.ops.insert(op, pending);
-        self.resend
-            .push((self.now.plus(ms), op, lane, StoreRequest::Txn(txn)));
+        self.resend.push((self.now.plus(ms), op, lane, StoreRequest::Txn(txn)));
     }
 
     // ---- the mesh ----
@@ -600,21 +575,12 @@
                 self.sync_if_due();
             }
             Message::Assign { pools, jobs } => self.on_assign(&from, pools, jobs),
-            Message::Promises {
-                pool,
-                token,
-                promises,
-            } => {
+            Message::Promises { pool, token, promises } => {
                 let Some(pool) = PoolId::parse(&pool) else {
                     return;
                 };
                 let token = Token(token);
-                let known = self
-                    .mirror
-                    .pools
-                    .get(&pool)
-                    .map(|h| h.token)
-                    .unwrap_or_default();
+                let known = self.mirror.pools.get(&pool).map(|h| h.token).unwrap_or_default();
                 if token > known {
                     self.hinted.insert(pool.clone(), (from, token));
                     self.want_sync = true;
--- a/crates/cleatfold-control/src/records.rs
+++ b/crates/cleatfold-control/src/records.rs
@@ -182,11 +182,8 @@
 
     /// Tasks of `from..to` that may be claimed.
     pub fn free(&self, from: u32, to: u32) -> Vec<TaskIx> {
-        let mut taken: Vec<u32> = self
-            .claims
-            .iter()
-            .flat_map(|g| g.tasks.iter().map(|t| t.0 .0))
-            .collect();
+        let mut taken: Vec<u32> =
+            self.claims.iter().flat_map(|g| g.tasks.iter().map(|t| t.0 .0)).collect();
         taken.sort_unstable();
         (from..to)
             .map(TaskIx)
@@ -196,19 +193,10 @@
 
     /// Claims a free task with an attempt above all earlier ones.
     pub fn claim(&mut self, machine: &MachineId, token: Token, pool: &str, ix: TaskIx) -> Attempt {
-        let last = self
-            .attempts
-            .iter()
-            .filter(|a| a.0 == ix)
-            .map(|a| a.1)
-            .max();
+        let last = self.attempts.iter().filter(|a| a.0 == ix).map(|a| a.1).max();
         self.attempts.retain(|a| a.0 != ix);
         let attempt = Attempt(last.unwrap_or_default().0 + 1);
-        match self
-            .claims
-            .iter_mut()
-            .find(|g| g.machine == *machine && g.token == token)
-        {
+        match self.claims.iter_mut().find(|g| g.machine == *machine && g.token == token) {
             Some(group) => group.tasks.push((ix, attempt)),
             None => self.claims.push(ClaimGroup {
                 machine: machine.clone(),
@@ -269,13 +257,7 @@
 }
 
 pub fn status(id: &JobId, state: JobState, done: u32, running: u32) -> JobStatus {
-    JobStatus {
-        id: id.clone(),
-        state,
-        done,
-        running,
-        why: None,
-    }
+    JobStatus { id: id.clone(), state, done, running, why: None }
 }
 
 #[cfg(test)]
--- a/crates/cleatfold-control/src/requests.rs
+++ b/crates/cleatfold-control/src/requests.rs
@@ -1,7 +1,6 @@
 //! What users ask: submissions, polls, cancellations.
 
 use crate::effects::*;
-use crate::jobs::Local;
 use crate::node::{Node, Pending, Submission, Wait, Waiting};
 use crate::records::*;
 use cleatfold_plan::Resources;
@@ -22,11 +21,7 @@
     const KEPT: usize = 4000;
 
     pub fn insert(&mut self, job: JobId, archive: ArchiveRecord) {
-        if self
-            .states
-            .insert(job.clone(), (archive.state, archive.done))
-            .is_none()
-        {
+        if self.states.insert(job.clone(), (archive.state, archive.done)).is_none() {
             self.order.push_back(job);
         }
         while self.order.len() > Self::KEPT {
@@ -37,9 +32,7 @@
     }
 
     pub fn get(&self, job: &JobId) -> Option<JobStatus> {
-        self.states
-            .get(job)
-            .map(|(state, done)| status(job, *state, *done, 0))
+        self.states.get(job).map(|(state, done)| status(job, *state, *done, 0))
     }
 }
 
@@ -88,12 +81,7 @@
         if self.store_away() {
             return self.reply(rid, Response::later("the state service does not answer"));
         }
-        self.waiting.push(Waiting {
-            rid,
-            job,
-            arrived: self.now,
-            kind,
-        });
+        self.waiting.push(Waiting { rid, job, arrived: self.now, kind });
         self.sync_if_due();
     }
 
@@ -103,11 +91,7 @@
         let now = self.now;
         let mut late = Vec::new();
         self.waiting.retain(|w| {
-            let limit = if matches!(w.kind, Wait::Poll) {
-                POLL_MS
-            } else {
-                REQUEST_MS
-            };
+            let limit = if matches!(w.kind, Wait::Poll) { POLL_MS } else { REQUEST_MS };
             let give_up = away || now.since(w.arrived) > limit;
             if give_up {
                 late.push(w.rid);
@@ -124,9 +108,8 @@
 
     /// A reading sent at `sent` is in: it answers everyone who asked before.
     pub(crate) fn answer_waiting(&mut self, sent: Ms) {
-        let (ripe, rest) = std::mem::take(&mut self.waiting)
-            .into_iter()
-            .partition(|w| w.arrived <= sent);
+        let (ripe, rest) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|w| w.arrived <= sent);
         self.waiting = rest;
         let mut unknown: HashMap<JobId, Vec<Waiting>> = HashMap::new();
         for w in ripe {
@@ -234,20 +217,14 @@
         };
         let each = Resources::new(spec.cpus, spec.gpus, spec.memory_gb);
         let fits = self.fleet.types.values().any(|t| {
-            spec.types
-                .as_ref()
-                .is_none_or(|allowed| allowed.contains(&t.name))
+            spec.types.as_ref().is_none_or(|allowed| allowed.contains(&t.name))
                 && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
                 && each.within(&self.fleet.total(&t.name))
         });
         if !fits {
             return Some("a task fits no allowed machine type".into());
         }
-        let n = if spec.kind == Kind::Service {
-            f64::from(spec.tasks)
-        } else {
-            1.0
-        };
+        let n = if spec.kind == Kind::Service { f64::from(spec.tasks) } else { 1.0 };
         let over = |need: f64, max: f64| max > 0.0 && need * n > max + 1e-9;
         if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
             return Some(format!("more than the limit of team {}", team.name));
@@ -275,10 +252,7 @@
                 break;
             };
             if length > self.cfg.value_bytes {
-                self.reply(
-                    next.rid,
-                    Response::refuse(400, "the description is too long"),
-                );
+                self.reply(next.rid, Response::refuse(400, "the description is too long"));
                 continue;
             }
             if batch.iter().any(|b| b.spec.id == job) {
@@ -309,10 +283,7 @@
                         continue;
                     };
                     self.mirror.set(&key, value.get(), version);
-                    self.locals.entry(job.clone()).or_insert_with(|| Local {
-                        seen: self.now,
-                        ..Local::default()
-                    });
+                    self.local(&job);
                     tracing::info!(job = %job, tasks = submission.spec.tasks, "accepted");
                     let status = status(&job, JobState::Queued, 0, 0);
                     self.reply(submission.rid, Response::Status { code: 201, status });
@@ -335,10 +306,7 @@
             StoreReply::Unknown => {
                 // It may be accepted yet; the users are told to ask again, which will tell.
                 for submission in &batch {
-                    self.reply(
-                        submission.rid,
-                        Response::later("the outcome is not known yet"),
-                    );
+                    self.reply(submission.rid, Response::later("the outcome is not known yet"));
                 }
                 self.want_sync = true;
             }
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -34,11 +34,7 @@
         let jobs = promises
             .into_iter()
             .map(|p| {
-                let finishes = p
-                    .finishes
-                    .iter()
-                    .map(|&(ms, n)| (now.plus(ms), n))
-                    .collect();
+                let finishes = p.finishes.iter().map(|&(ms, n)| (now.plus(ms), n)).collect();
                 (JobId::new(p.job), finishes)
             })
             .collect();
@@ -59,12 +55,8 @@
 impl Node {
     /// The queue in order, with what of each job is unclaimed.
     pub(crate) fn queue(&self) -> Vec<(JobId, u32)> {
-        let mut arrivals: Vec<(&JobId, &crate::mirror::Live)> = self
-            .mirror
-            .jobs
-            .iter()
-            .filter(|(_, j)| !j.record.aborted)
-            .collect();
+        let mut arrivals: Vec<(&JobId, &crate::mirror::Live)> =
+            self.mirror.jobs.iter().filter(|(_, j)| !j.record.aborted).collect();
         arrivals.sort_by(|a, b| (a.1.record.accepted_ms, a.0).cmp(&(b.1.record.accepted_ms, b.0)));
         let mut guarantees = Guarantees::new(
             self.cfg
@@ -123,14 +115,7 @@
             let open = charts.iter().map(|c| c.open).collect();
             let (jobs, requests) = self.requests_for(&pool, queue, &machines);
             let reservations = plan(&mut charts, &requests, CHUNKS);
-            plans.push(PoolPlan {
-                pool,
-                token,
-                machines,
-                open,
-                jobs,
-                reservations,
-            });
+            plans.push(PoolPlan { pool, token, machines, open, jobs, reservations });
         }
         plans
     }
@@ -169,11 +154,7 @@
                 }
             };
             chart.fetch_gb_per_s = kind.fetch_gb_per_s;
-            chart.images = m
-                .images
-                .iter()
-                .map(|(image, _)| (image.clone(), now))
-                .collect();
+            chart.images = m.images.iter().map(|(image, _)| (image.clone(), now)).collect();
             for ((job, ix), _) in self.mirror.claims.get(id).into_iter().flatten() {
                 let Some(live) = self.mirror.jobs.get(job) else {
                     continue;
@@ -212,12 +193,7 @@
         if run >= FOREVER {
             return Ms(FOREVER);
         }
-        let saved = self
-            .locals
-            .get(job)
-            .and_then(|l| l.saved.get(&ix))
-            .copied()
-            .unwrap_or(0);
+        let saved = self.locals.get(job).and_then(|l| l.saved.get(&ix)).copied().unwrap_or(0);
         let run = run.saturating_sub(saved);
         match machine.started.get(&(job.clone(), ix)) {
             Some(start) => {
@@ -235,9 +211,7 @@
 
     pub(crate) fn may_use(&self, live: &crate::mirror::Live, pool: &PoolId) -> bool {
         let spec = &live.record.spec;
-        spec.types
-            .as_ref()
-            .is_none_or(|t| t.contains(&pool.machine_type))
+        spec.types.as_ref().is_none_or(|t| t.contains(&pool.machine_type))
             && spec.zone.as_ref().is_none_or(|z| *z == pool.zone)
             && (!spec.one_zone || live.record.zone.as_ref().is_none_or(|z| *z == pool.zone))
             && live.each.within(&self.fleet.total(&pool.machine_type))
@@ -384,11 +358,7 @@
             .iter()
             .filter(|(pool, (token, at, _))| {
                 self.now.since(*at) < PROMISE_AGE_MS
-                    && self
-                        .mirror
-                        .pools
-                        .get(*pool)
-                        .is_some_and(|h| h.token <= *token)
+                    && self.mirror.pools.get(*pool).is_some_and(|h| h.token <= *token)
                     && !self.owned_since.contains_key(*pool)
             })
             .filter_map(|(_, (_, _, jobs))| jobs.get(job))
@@ -414,16 +384,10 @@
             let promises = jobs
                 .into_iter()
                 .take(200)
-                .map(|(job, finishes)| Promise {
-                    job: job.to_string(),
-                    finishes,
-                })
+                .map(|(job, finishes)| Promise { job: job.to_string(), finishes })
                 .collect();
-            let message = Message::Promises {
-                pool: plan.pool.to_string(),
-                token: plan.token.0,
-                promises,
-            };
+            let message =
+                Message::Promises { pool: plan.pool.to_string(), token: plan.token.0, promises };
             self.out.push(Effect::Mesh { to: None, message });
         }
     }
@@ -485,26 +449,13 @@
             return 0;
         }
         let name = pool.to_string();
-        let slice = self
-            .mirror
-            .slices
-            .get(team)
-            .and_then(|s| s.1.pools.get(&name))
-            .copied();
+        let slice = self.mirror.slices.get(team).and_then(|s| s.1.pools.get(&name)).copied();
         let (cpus, gpus) = slice.unwrap_or_default();
         let used = usage.entry((team.clone(), name)).or_default();
         let far = i64::MAX / 4;
         let room = Resources {
-            cpus: if limit.cpus_max > 0.0 {
-                cpus - used.cpus
-            } else {
-                far
-            },
-            gpus: if limit.gpus_max > 0.0 {
-                gpus - used.gpus
-            } else {
-                far
-            },
+            cpus: if limit.cpus_max > 0.0 { cpus - used.cpus } else { far },
+            gpus: if limit.gpus_max > 0.0 { gpus - used.gpus } else { far },
             memory: far,
         };
         let n = room.fits(&each, tasks);
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -22,10 +22,7 @@
         if !self.serving() || self.fleet.is_deleted(&report.machine) {
             return self.reply(rid, Response::Redirect(None));
         }
-        let pool = PoolId {
-            machine_type: report.machine_type.clone(),
-            zone: report.zone.clone(),
-        };
+        let pool = PoolId { machine_type: report.machine_type.clone(), zone: report.zone.clone() };
         let Some(token) = self.my_token(&pool) else {
             return self.redirect(rid, &report.machine, &pool);
         };
@@ -40,11 +37,7 @@
         if deaf > self.cfg.deaf_limit_ms() {
             return self.reply(rid, Response::later("cut off from the state service"));
         }
-        let known = self
-            .fleet
-            .machines
-            .get(&report.machine)
-            .and_then(|m| m.report.as_ref());
+        let known = self.fleet.machines.get(&report.machine).and_then(|m| m.report.as_ref());
         if known.is_some_and(|k| (k.session, k.seq) >= (report.session, report.seq)) {
             // Late or repeated. Its worker does not wait for this answer any more.
             return self.reply(rid, Response::later("an old report"));
@@ -63,10 +56,7 @@
             let now = self.now;
             let times = self.strays.entry(machine.clone()).or_default();
             times.push_back(now);
-            while times
-                .front()
-                .is_some_and(|t| now.since(*t) > STRAY_WINDOW_MS)
-            {
+            while times.front().is_some_and(|t| now.since(*t) > STRAY_WINDOW_MS) {
                 times.pop_front();
             }
             let live = self.mirror.nodes.contains_key(owner);
@@ -95,11 +85,7 @@
         machine.notice = report.notice_s.map(|s| now.plus_s(s));
         let seen_our_token = report.token == token;
         let first = machine.report.as_ref().is_none_or(|r| r.token != token);
-        if machine
-            .report
-            .as_ref()
-            .is_some_and(|r| r.session != report.session)
-        {
+        if machine.report.as_ref().is_some_and(|r| r.session != report.session) {
             machine.started.clear();
         }
         let draining = machine.draining || machine.deleting;
@@ -120,16 +106,11 @@
             if ours {
                 listed.insert((t.task.job.clone(), t.task.ix));
             }
-            let aborted = self
-                .mirror
-                .jobs
-                .get(&t.task.job)
-                .is_none_or(|j| j.record.aborted);
+            let aborted = self.mirror.jobs.get(&t.task.job).is_none_or(|j| j.record.aborted);
             match (t.state, ours) {
-                (TaskState::Exited, false) => commands.push(Command::Forget {
-                    task: t.task.clone(),
-                    attempt: t.attempt,
-                }),
+                (TaskState::Exited, false) => {
+                    commands.push(Command::Forget { task: t.task.clone(), attempt: t.attempt })
+                }
                 // Another attempt of the same task is still here: the claim must stand until
                 // that is gone, or the task could be started elsewhere beside it.
                 (TaskState::Exited, true) if alive.contains(&t.task) => {}
@@ -160,20 +141,16 @@
             if listed.contains(&(job.clone(), ix)) {
                 continue;
             }
-            let task = TaskId {
-                job: job.clone(),
-                ix,
-            };
+            let task = TaskId { job: job.clone(), ix };
             if alive.contains(&task) {
                 // Another attempt of it is here and is being stopped.
                 continue;
             }
             let aborted = self.mirror.jobs.get(&job).is_none_or(|j| j.record.aborted);
-            let ending = self.locals.get(&job).is_some_and(|l| {
-                l.ends
-                    .iter()
-                    .any(|e| e.ix == ix && e.attempt == claim.attempt)
-            });
+            let ending = self
+                .locals
+                .get(&job)
+                .is_some_and(|l| l.ends.iter().any(|e| e.ix == ix && e.attempt == claim.attempt));
             if ending {
                 // Its exit was seen and is being recorded: it must not start again.
                 continue;
@@ -184,10 +161,7 @@
                 if aborted || draining || notice.is_some() {
                     lost.push((job, ix, claim.attempt, "not started"));
                 } else {
-                    starts.push(Command::Start {
-                        task,
-                        attempt: claim.attempt,
-                    });
+                    starts.push(Command::Start { task, attempt: claim.attempt });
                 }
             } else if seen_our_token {
                 // The former owner can order nothing here any more, and it is not here.
@@ -195,13 +169,7 @@
             }
         }
         for (job, ix, attempt, why) in lost {
-            let end = End {
-                machine: id.clone(),
-                ix,
-                attempt,
-                done: false,
-                why,
-            };
+            let end = End { machine: id.clone(), ix, attempt, done: false, why };
             self.end(&job, end);
         }
         for (t, exit) in ends {
@@ -221,10 +189,7 @@
                 at: now,
                 tasks: report.tasks,
             };
-            let changed = machine
-                .report
-                .as_ref()
-                .is_none_or(|r| r.tasks != last.tasks);
+            let changed = machine.report.as_ref().is_none_or(|r| r.tasks != last.tasks);
             machine.report = Some(last);
             machine.listed = Some(cloud_running());
             changed
@@ -249,11 +214,8 @@
             return;
         }
         machine.started.insert(key, now);
-        let cache = self
-            .fleet
-            .types
-            .get(&machine.pool.machine_type)
-            .map_or(f64::INFINITY, |t| t.cache_gb);
+        let cache =
+            self.fleet.types.get(&machine.pool.machine_type).map_or(f64::INFINITY, |t| t.cache_gb);
         machine.use_image(&image, gb, cache);
     }
 
@@ -270,11 +232,7 @@
         };
         let spec = &live.record.spec;
         if t.state == TaskState::Fetching {
-            commands.push(Command::Stop {
-                task: t.task.clone(),
-                attempt: t.attempt,
-                grace_s: 0.0,
-            });
+            commands.push(Command::Stop { task: t.task.clone(), attempt: t.attempt, grace_s: 0.0 });
             return;
         }
         if spec.checkpoint_s <= 0.0 {
@@ -310,20 +268,13 @@
         };
         let interval = (live.record.spec.checkpoint_s * 1000.0) as u64;
         let local = self.local(&task.job);
-        let known = local
-            .ends
-            .iter()
-            .any(|e| e.ix == task.ix && e.attempt == attempt);
+        let known = local.ends.iter().any(|e| e.ix == task.ix && e.attempt == attempt);
         if known {
             return;
         }
         if exit != Exit::Done && interval > 0 {
             let ran = started.map_or(0, |s| now.since(s));
-            let kept = if saved {
-                ran
-            } else {
-                ran / interval * interval
-            };
+            let kept = if saved { ran } else { ran / interval * interval };
             *local.saved.entry(task.ix).or_default() += kept;
         }
         match exit {
--- a/crates/cleatfold-plan/src/chart.rs
+++ b/crates/cleatfold-plan/src/chart.rs
@@ -86,11 +86,7 @@
     /// When a task started at `start` is expected to end: image first, then the work.
     fn finish(&self, request: &Request, start: Ms) -> Ms {
         let fetched = start.plus_s(request.image_gb / self.fetch_gb_per_s.max(0.001));
-        let ready = match self
-            .images
-            .iter()
-            .find(|(image, _)| *image == request.image)
-        {
+        let ready = match self.images.iter().find(|(image, _)| *image == request.image) {
             Some((_, ready)) => fetched.min(start.max(*ready)),
             None => fetched,
         };
@@ -146,13 +142,7 @@
         let mut candidates: Vec<Option<(Ms, Ms, u32)>> = machines
             .iter()
             .enumerate()
-            .map(|(i, m)| {
-                if usable(i, m) {
-                    m.earliest(request, left)
-                } else {
-                    None
-                }
-            })
+            .map(|(i, m)| if usable(i, m) { m.earliest(request, left) } else { None })
             .collect();
         while left > 0 && chunks > 0 {
             let best = candidates
@@ -170,20 +160,10 @@
                 let ready = start.plus_s(request.image_gb / m.fetch_gb_per_s.max(0.001));
                 m.images.push((request.image.clone(), ready));
             }
-            out.push(Reservation {
-                request: r,
-                machine: i,
-                start,
-                finish,
-                tasks: count,
-            });
+            out.push(Reservation { request: r, machine: i, start, finish, tasks: count });
             left -= count;
             chunks -= 1;
-            candidates[i] = if left > 0 {
-                m.earliest(request, left)
-            } else {
-                None
-            };
+            candidates[i] = if left > 0 { m.earliest(request, left) } else { None };
         }
         if chunks == 0 {
             break;
--- a/crates/cleatfold-plan/src/pools.rs
+++ b/crates/cleatfold-plan/src/pools.rs
@@ -27,11 +27,8 @@
     work: f64,
 ) -> Vec<usize> {
     const STAY: f64 = 0.8;
-    let mut order: Vec<usize> = eligible
-        .iter()
-        .copied()
-        .filter(|&p| loads[p].processors > 0.0)
-        .collect();
+    let mut order: Vec<usize> =
+        eligible.iter().copied().filter(|&p| loads[p].processors > 0.0).collect();
     let key = |p: usize| {
         let s = loads[p].seconds();
         if current.contains(&p) {
--- a/crates/cleatfold-plan/src/resources.rs
+++ b/crates/cleatfold-plan/src/resources.rs
@@ -15,21 +15,15 @@
 
 impl Resources {
     pub fn new(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
-        Self {
-            cpus: thousandths(cpus),
-            gpus: thousandths(gpus),
-            memory: thousandths(memory_gb),
-        }
+        Self { cpus: thousandths(cpus), gpus: thousandths(gpus), memory: thousandths(memory_gb) }
     }
 
     /// How many tasks taking `each` fit, at most `limit`.
     pub fn fits(&self, each: &Resources, limit: u32) -> u32 {
         let mut n = i64::from(limit);
-        for (have, want) in [
-            (self.cpus, each.cpus),
-            (self.gpus, each.gpus),
-            (self.memory, each.memory),
-        ] {
+        for (have, want) in
+            [(self.cpus, each.cpus), (self.gpus, each.gpus), (self.memory, each.memory)]
+        {
             if want > 0 {
                 n = n.min(have.max(0) / want);
             } else if have < 0 {
@@ -41,11 +35,7 @@
 
     pub fn times(&self, n: u32) -> Resources {
         let n = i64::from(n);
-        Resources {
-            cpus: self.cpus * n,
-            gpus: self.gpus * n,
-            memory: self.memory * n,
-        }
+        Resources { cpus: self.cpus * n, gpus: self.gpus * n, memory: self.memory * n }
     }
 
     pub fn within(&self, limit: &Resources) -> bool {
--- a/crates/cleatfold-wire/src/ids.rs
+++ b/crates/cleatfold-wire/src/ids.rs
@@ -86,10 +86,7 @@
 impl PoolId {
     pub fn parse(text: &str) -> Option<Self> {
         let (machine_type, zone) = text.split_once('/')?;
-        Some(Self {
-            machine_type: TypeId::new(machine_type),
-            zone: ZoneId::new(zone),
-        })
+        Some(Self { machine_type: TypeId::new(machine_type), zone: ZoneId::new(zone) })
     }
 }
 
@@ -188,10 +185,7 @@
         let text = <std::borrow::Cow<'de, str>>::deserialize(d)?;
         text.rsplit_once('/')
             .and_then(|(job, ix)| {
-                Some(TaskId {
-                    job: JobId::new(job),
-                    ix: TaskIx(ix.parse().ok()?),
-                })
+                Some(TaskId { job: JobId::new(job), ix: TaskIx(ix.parse().ok()?) })
             })
             .ok_or_else(|| serde::de::Error::custom("a task is JOB/NUMBER"))
     }
--- a/crates/cleatfold-wire/src/job.rs
+++ b/crates/cleatfold-wire/src/job.rs
@@ -53,11 +53,7 @@
     pub image: ImageId,
     #[serde(rename = "pullGb")]
     pub image_gb: f64,
-    #[serde(
-        rename = "gabaritsMachine",
-        default,
-        skip_serializing_if = "Option::is_none"
-    )]
+    #[serde(rename = "gabaritsMachine", default, skip_serializing_if = "Option::is_none")]
     pub types: Option<Vec<TypeId>>,
     #[serde(rename = "site", default, skip_serializing_if = "Option::is_none")]
     pub zone: Option<ZoneId>,
@@ -84,10 +80,7 @@
     #[error("not a job: {0}")]
     Json(String),
     #[error("{field}: {problem}")]
-    Field {
-        field: &'static str,
-        problem: &'static str,
-    },
+    Field { field: &'static str, problem: &'static str },
 }
 
 impl JobSpec {
--- a/crates/cleatfold-wire/src/mesh.rs
+++ b/crates/cleatfold-wire/src/mesh.rs
@@ -13,16 +13,9 @@
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Message {
     /// The leader sends jobs to pools. Replaces what an earlier message said.
-    Assign {
-        pools: Vec<String>,
-        jobs: Vec<(String, Vec<u16>)>,
-    },
+    Assign { pools: Vec<String>, jobs: Vec<(String, Vec<u16>)> },
     /// The promises of one owner's chart. Also tells who holds the pool under which token.
-    Promises {
-        pool: String,
-        token: u64,
-        promises: Vec<Promise>,
-    },
+    Promises { pool: String, token: u64, promises: Vec<Promise> },
     /// How long ago the sender last read the state service.
     Alive { contact_age_ms: u64 },
     /// Something was written that the others will want to read now.
--- a/crates/cleatfold-wire/src/store.rs
+++ b/crates/cleatfold-wire/src/store.rs
@@ -55,10 +55,7 @@
 
 impl Txn {
     pub fn guard(&mut self, key: impl Into<String>, version: Version) {
-        self.guards.push(Guard {
-            key: key.into(),
-            version,
-        });
+        self.guards.push(Guard { key: key.into(), version });
     }
     pub fn put(&mut self, key: impl Into<String>, value: &impl Serialize, lease: Option<LeaseId>) {
         let value = serde_json::value::to_raw_value(value).expect("our records are plain JSON");
@@ -70,12 +67,7 @@
         });
     }
     pub fn delete(&mut self, key: impl Into<String>) {
-        self.changes.push(Change {
-            put: None,
-            value: None,
-            lease: None,
-            delete: Some(key.into()),
-        });
+        self.changes.push(Change { put: None, value: None, lease: None, delete: Some(key.into()) });
     }
 }
 
--- a/crates/cleatfold/src/actor.rs
+++ b/crates/cleatfold/src/actor.rs
@@ -20,14 +20,8 @@
 
 /// What the other actors say to the core.
 pub enum ToCore {
-    Ask {
-        request: Request,
-        answer: oneshot::Sender<Response>,
-    },
-    Report {
-        report: Report,
-        answer: oneshot::Sender<Response>,
-    },
+    Ask { request: Request, answer: oneshot::Sender<Response> },
+    Report { report: Report, answer: oneshot::Sender<Response> },
     Event(Event),
 }
 
@@ -141,9 +135,8 @@
             },
             _ = ticker.tick() => Event::Tick,
         };
-        let wall_ms = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |d| d.as_millis() as u64);
+        let wall_ms =
+            SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
         for effect in node.handle(steady(), wall_ms, event) {
             outlets.carry_out(effect);
         }
--- a/crates/cleatfold/src/main.rs
+++ b/crates/cleatfold/src/main.rs
@@ -56,9 +56,7 @@
         .with_target(false)
         .without_time()
         .init();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => return fail(&error),
--- a/crates/cleatfold/src/serve.rs
+++ b/crates/cleatfold/src/serve.rs
@@ -23,15 +23,13 @@
         .and(warp::header::optional::<u64>("content-length"))
         .and(warp::body::stream())
         .and(warp::any().map(move || core.clone()))
-        .then(
-            |method: Method, path: FullPath, length: Option<u64>, body, core: Core| async move {
-                let reply = match read_body(length, body).await {
-                    Ok(body) => route(&method, path.as_str(), &body, &core).await,
-                    Err(refusal) => refusal,
-                };
-                Ok::<_, Infallible>(reply)
-            },
-        )
+        .then(|method: Method, path: FullPath, length: Option<u64>, body, core: Core| async move {
+            let reply = match read_body(length, body).await {
+                Ok(body) => route(&method, path.as_str(), &body, &core).await,
+                Err(refusal) => refusal,
+            };
+            Ok::<_, Infallible>(reply)
+        })
         .map(|reply: Result<Reply, Infallible>| reply.unwrap_or_default());
     warp::serve(routes).incoming(listener).run().await;
 }
@@ -112,11 +110,7 @@
 fn render(response: Response) -> Reply {
     match response {
         Response::Status { code, status } => json(code, &status),
-        Response::Refusal {
-            code,
-            why,
-            retry_after_s,
-        } => {
+        Response::Refusal { code, why, retry_after_s } => {
             let mut reply = problem(code, &why);
             if let Some(seconds) = retry_after_s {
                 reply.headers_mut().insert("retry-after", seconds.into());
@@ -130,20 +124,12 @@
 }
 
 fn problem(code: u16, why: &str) -> Reply {
-    json(
-        code,
-        &Problem {
-            error: why.to_string(),
-        },
-    )
+    json(code, &Problem { error: why.to_string() })
 }
 
 fn json(code: u16, body: &impl Serialize) -> Reply {
     let mut reply = Reply::new(Bytes::from(serde_json::to_vec(body).unwrap_or_default()));
     *reply.status_mut() = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    reply.headers_mut().insert(
-        "content-type",
-        "application/json".parse().expect("a header value"),
-    );
+    reply.headers_mut().insert("content-type", "application/json".parse().expect("a header value"));
     reply
 }
--- a/crates/cleatfold/src/settings.rs
+++ b/crates/cleatfold/src/settings.rs
@@ -95,18 +95,12 @@
 
 pub fn read(path: &Path) -> Result<Settings, SettingsError> {
     let shown = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Read {
-        path: shown.clone(),
-        error,
-    })?;
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| SettingsError::Read { path: shown.clone(), error })?;
     let settings: Settings = toml::from_str(&text).map_err(|e| SettingsError::Parse {
         path: shown,
         // One line: where it is and what is wrong.
-        error: e
-            .to_string()
-            .split_whitespace()
-            .collect::<Vec<_>>()
-            .join(" "),
+        error: e.to_string().split_whitespace().collect::<Vec<_>>().join(" "),
     })?;
     settings.check()?;
     Ok(settings)
@@ -127,10 +121,7 @@
 impl Settings {
     fn check(&self) -> Result<(), SettingsError> {
         let wrong = |field: &str, problem: &str| {
-            Err(SettingsError::Field {
-                field: field.into(),
-                problem: problem.into(),
-            })
+            Err(SettingsError::Field { field: field.into(), problem: problem.into() })
         };
         let c = &self.cluster;
         for (field, value) in [
@@ -184,11 +175,7 @@
         Config {
             me: self.node.clone(),
             zone: self.zone.clone(),
-            peers: self
-                .peers
-                .iter()
-                .map(|p| (p.node.clone(), p.zone.clone()))
-                .collect(),
+            peers: self.peers.iter().map(|p| (p.node.clone(), p.zone.clone())).collect(),
             teams: c
                 .teams
                 .iter()
