Fence releases by absence and by lease with the pool's version

Cause: a node that lost the network released the claims of machines it no longer heard by lease arithmetic; the pool had been dealt to another node, which heard them. Now such releases carry the pool key's version. Also: dealing waits until its last change has been read (it dealt pools back and forth every 10 s).

--- a/crates/cleatfold-control/src/fleet.rs
+++ b/crates/cleatfold-control/src/fleet.rs
@@ -40,6 +40,8 @@
     pub draining: bool,
     pub deleting: bool,
     pub idle_since: Option<Ms>,
+    /// Its lease has provably run out since its last report.
+    pub expired: bool,
     /// First known of.
     pub known: Ms,
 }
@@ -62,6 +64,7 @@
             draining: false,
             deleting: false,
             idle_since: None,
+            expired: false,
             known: now,
         }
     }
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -22,6 +22,11 @@
     pub attempt: Attempt,
     pub done: bool,
     pub why: &'static str,
+    /// The proof holds only while the pool is ours under this token. An exit and a deletion
+    /// are facts for ever; an absence or a lease that ran out are not: after a take-over the
+    /// new owner may have heard the worker and renewed its lease, and our transaction may be
+    /// applied minutes late.
+    pub fence: Option<(PoolId, Token)>,
 }
 
 /// Tasks to be claimed for one machine.
@@ -76,6 +81,14 @@
     record.in_parts().then_some(ix.0 / PART)
 }
 
+/// The transaction fails unless the pool is still ours.
+fn guard_pool(txn: &mut Txn, pool: &PoolId, token: Token) {
+    let key = pool_key(pool);
+    if !txn.guards.iter().any(|g| g.key == key) {
+        txn.guard(key, Version(token.0));
+    }
+}
+
 impl Node {
     pub(crate) fn local(&mut self, job: &JobId) -> &mut Local {
         self.locals.entry(job.clone()).or_default()
@@ -97,8 +110,11 @@
 
     pub(crate) fn end(&mut self, job: &JobId, end: End) {
         let local = self.local(job);
-        if !local.ends.iter().any(|e| e.ix == end.ix && e.attempt == end.attempt) {
-            local.ends.push(end);
+        match local.ends.iter_mut().find(|e| e.ix == end.ix && e.attempt == end.attempt) {
+            // A proof for ever replaces one that needs our token.
+            Some(known) if known.fence.is_some() && end.fence.is_none() => *known = end,
+            Some(_) => {}
+            None => local.ends.push(end),
         }
     }
 
@@ -170,6 +186,12 @@
         let mut ended = Vec::new();
         let mut void = Vec::new();
         for end in &local.ends {
+            if let Some((pool, token)) = &end.fence {
+                if self.owned_since.get(pool).map(|o| o.0) != Some(*token) {
+                    void.push(end.clone());
+                    continue;
+                }
+            }
             let part = part_of(&record, end.ix);
             if part.is_some_and(|p| !touched.contains_key(&p)) && touched.len() >= room {
                 continue;
@@ -179,6 +201,9 @@
                 head_changed |= part.is_none();
                 claimed -= 1;
                 done += u32::from(end.done);
+                if let Some((pool, token)) = &end.fence {
+                    guard_pool(&mut txn, pool, *token);
+                }
                 ended.push(end.clone());
             } else {
                 void.push(end.clone());
@@ -259,10 +284,7 @@
                 }
                 if !made.is_empty() {
                     claimed += made.len() as u32;
-                    let key = pool_key(&wish.pool);
-                    if !txn.guards.iter().any(|g| g.key == key) {
-                        txn.guard(key, Version(wish.token.0));
-                    }
+                    guard_pool(&mut txn, &wish.pool, wish.token);
                     claims.push((wish, made));
                 }
             }
@@ -461,7 +483,8 @@
             Exit::Unknown => "unknown job",
             Exit::Other => "other",
         };
-        End { machine: machine.clone(), ix, attempt, done: exit == Exit::Done, why }
+        let done = exit == Exit::Done;
+        End { machine: machine.clone(), ix, attempt, done, why, fence: None }
     }
 }
 
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -60,7 +60,9 @@
     }
 
     fn deal(&mut self, since: Ms) {
-        if self.dealing.is_some() || self.mirror.nodes.is_empty() {
+        // What was dealt last must have been read before anything more is dealt.
+        let read = self.fresh.is_some_and(|f| f >= self.deal_settled);
+        if self.dealing.is_some() || !read || self.mirror.nodes.is_empty() {
             return;
         }
         // At the start of all, wait a little for the others rather than deal twice.
@@ -120,14 +122,20 @@
         let most = held.iter().max_by(|a, b| a.1.total_cmp(b.1))?;
         let least = held.iter().min_by(|a, b| a.1.total_cmp(b.1))?;
         let gap = most.1 - least.1;
+        let average = held.values().sum::<f64>() / held.len() as f64;
+        // Every move costs its workers a change of node: only clear unevenness is worth one.
+        let restless = self.dealt.values().any(|at| self.now.since(*at) < SETTLE_MS);
+        if gap < average * 0.6 || restless {
+            return None;
+        }
         pools
             .iter()
             .filter(|p| self.mirror.pools.get(*p).is_some_and(|h| h.owner == *most.0))
-            .filter(|p| {
-                self.dealt.get(*p).is_none_or(|at| self.now.since(*at) > SETTLE_MS)
-                    && weight(p) < gap * 0.75
+            .filter(|p| weight(p) < gap * 0.8)
+            .min_by(|a, b| {
+                let left = |p: &PoolId| (gap - 2.0 * weight(p)).abs();
+                left(a).total_cmp(&left(b)).then(a.cmp(b))
             })
-            .max_by(|a, b| weight(a).total_cmp(&weight(b)).then(b.cmp(a)))
             .map(|p| (p.clone(), least.0.clone()))
     }
 
@@ -377,7 +385,7 @@
             (Some(Pending::Rent { request, tries }), reply) => self.on_rent(request, tries, reply),
             (Some(Pending::Delete { machines }), CloudReply::Deleted) => {
                 for id in machines {
-                    self.on_machine_gone(&id, "machine deleted");
+                    self.on_machine_gone(&id, "machine deleted", None);
                     self.fleet.note_deleted(&id);
                 }
                 self.dirty = true;
@@ -458,25 +466,34 @@
     }
 
     /// All claims on a machine that is provably gone are over.
-    fn on_machine_gone(&mut self, id: &MachineId, why: &'static str) {
+    fn on_machine_gone(
+        &mut self,
+        id: &MachineId,
+        why: &'static str,
+        fence: Option<(PoolId, Token)>,
+    ) {
         let claims = self.mirror.claims.get(id).cloned().unwrap_or_default();
         tracing::info!(machine = %id, tasks = claims.len(), why, "machine gone");
         for ((job, ix), claim) in claims {
-            let end = End { machine: id.clone(), ix, attempt: claim.attempt, done: false, why };
-            self.end(&job, end);
+            let (machine, attempt, fence) = (id.clone(), claim.attempt, fence.clone());
+            self.end(&job, End { machine, ix, attempt, done: false, why, fence });
         }
     }
 
     // ---- our machines ----
 
     pub(crate) fn watch_machines(&mut self) {
+        // Cut off, we would take our own silence for the machines'. Others may hear them.
+        if !self.in_contact() {
+            return;
+        }
         self.adopt_claimed_machines();
         let now = self.now;
         let silent_limit = 4 * self.cfg.report_ms + 2000;
         let mut silent: Vec<(MachineId, u64)> = Vec::new();
         let mut reporting = 0;
         let mut delete: Vec<MachineId> = Vec::new();
-        let mut expired: Vec<MachineId> = Vec::new();
+        let mut expired: Vec<(MachineId, PoolId, Token)> = Vec::new();
         let mut turned_silent = false;
         let idle_limit = (self.cfg.idle_return_s * 1000.0) as u64;
         let queue_empty = self.mirror.jobs.values().all(|j| j.unclaimed() == 0);
@@ -520,8 +537,9 @@
                         let seen = m.report.as_ref().is_some_and(|r| r.token == token);
                         let answered =
                             m.answered.is_some_and(|(at, t)| t == token && now.since(at) > lease);
-                        if seen && answered {
-                            expired.push(id.clone());
+                        if seen && answered && !m.expired {
+                            m.expired = true;
+                            expired.push((id.clone(), m.pool.clone(), token));
                         }
                         silent.push((id, quiet));
                         turned_silent = true;
@@ -547,10 +565,10 @@
                 delete.push(id);
             }
         }
-        for id in expired {
+        for (id, pool, token) in expired {
             // Claims made since are on no machine either: they were never ordered.
             if self.mirror.claims.contains_key(&id) {
-                self.on_machine_gone(&id, "lease ran out");
+                self.on_machine_gone(&id, "lease ran out", Some((pool, token)));
             }
         }
         if turned_silent {
@@ -604,7 +622,7 @@
         }
         for (id, pool) in found {
             if self.fleet.is_deleted(&id) {
-                self.on_machine_gone(&id, "machine deleted");
+                self.on_machine_gone(&id, "machine deleted", None);
             } else {
                 let now = self.now;
                 self.fleet.machines.entry(id).or_insert_with(|| Machine::new(pool, false, now));
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -122,6 +122,7 @@
     pub(crate) leading_asked: bool,
     pub(crate) leader_since: Option<Ms>,
     pub(crate) dealing: Option<u64>,
+    pub(crate) deal_settled: Ms,
     pub(crate) dealt: HashMap<PoolId, Ms>,
 
     pub(crate) locals: HashMap<JobId, Local>,
@@ -186,6 +187,7 @@
             leading_asked: false,
             leader_since: None,
             dealing: None,
+            deal_settled: Ms(0),
             dealt: HashMap::new(),
             locals: HashMap::new(),
             submissions: VecDeque::new(),
@@ -540,6 +542,7 @@
             }
             Pending::Deal => {
                 self.dealing = None;
+                self.deal_settled = self.now;
                 self.want_sync = true;
                 if matches!(reply, StoreReply::Committed(_)) {
                     self.tell(None, Message::Changed);
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -82,6 +82,7 @@
         machine.pool = pool.clone();
         machine.spot = spot;
         machine.answered = Some((now, token));
+        machine.expired = false;
         machine.notice = report.notice_s.map(|s| now.plus_s(s));
         let seen_our_token = report.token == token;
         let first = machine.report.as_ref().is_none_or(|r| r.token != token);
@@ -169,7 +170,8 @@
             }
         }
         for (job, ix, attempt, why) in lost {
-            let end = End { machine: id.clone(), ix, attempt, done: false, why };
+            let fence = Some((pool.clone(), token));
+            let end = End { machine: id.clone(), ix, attempt, done: false, why, fence };
             self.end(&job, end);
         }
         for (t, exit) in ends {
