--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -7,7 +7,7 @@
 use crate::effects::*;
 use crate::node::{Node, Pending};
 use crate::records::*;
-use cleatfold_wire::job::JobState;
+use cleatfold_wire::job::{JobState, Kind};
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::worker::Exit;
@@ -226,6 +226,8 @@
                     }
                 }
             }
+            let before = (record.clone(), touched.clone(), txn.guards.len(), head_changed);
+            let free_before = tasks - done - claimed;
             for wish in wishes {
                 if self.owned_since.get(&wish.pool).map(|o| o.0) != Some(wish.token) {
                     continue;
@@ -288,6 +290,15 @@
                     claims.push((wish, made));
                 }
             }
+            let made: u32 = claims.iter().map(|c| c.1.len() as u32).sum();
+            if record.spec.kind == Kind::Gang && made > 0 && made < free_before {
+                // A gang is claimed whole or not at all.
+                claims.clear();
+                claimed -= made;
+                (record, touched) = (before.0, before.1);
+                txn.guards.truncate(before.2);
+                head_changed = before.3;
+            }
         }
         if local.abort && !record.aborted && done < record.spec.tasks {
             record.aborted = true;
--- a/crates/cleatfold-control/src/requests.rs
+++ b/crates/cleatfold-control/src/requests.rs
@@ -224,7 +224,7 @@
         if !fits {
             return Some("a task fits no allowed machine type".into());
         }
-        let n = if spec.kind == Kind::Service { f64::from(spec.tasks) } else { 1.0 };
+        let n = if spec.kind == Kind::Array { 1.0 } else { f64::from(spec.tasks) };
         let over = |need: f64, max: f64| max > 0.0 && need * n > max + 1e-9;
         if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
             return Some(format!("more than the limit of team {}", team.name));
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -247,7 +247,8 @@
                 let here = self.claimed_in_zone(id, &pool.zone);
                 tasks = tasks.min(spec.tasks.div_ceil(2).saturating_sub(here));
             }
-            if tasks == 0 {
+            // A gang whose tasks are not all free waits for those that are being given up.
+            if tasks == 0 || (spec.kind == Kind::Gang && live.claimed > 0) {
                 continue;
             }
             let avoid = machines
@@ -268,6 +269,7 @@
                 image: spec.image.clone(),
                 image_gb: spec.image_gb,
                 spot: spec.spot,
+                gang: spec.kind == Kind::Gang,
                 avoid,
             });
         }
@@ -296,7 +298,12 @@
                     .map(|r| (p, r)),
             );
         }
-        due.sort_by_key(|(p, r)| (r.finish, *p, r.machine));
+        // Of a gang, all starts are due or none is.
+        let mut due_tasks: HashMap<(usize, usize), u32> = HashMap::new();
+        for (p, r) in &due {
+            *due_tasks.entry((*p, r.request)).or_default() += r.tasks;
+        }
+        due.sort_by_key(|(p, r)| (r.finish, *p, r.request, r.machine));
         let mut usage = self.limited_usage();
         for (p, r) in due {
             let plan = &plans[p];
@@ -318,6 +325,12 @@
                 continue;
             };
             let mut tasks = r.tasks.min(remaining);
+            if live.record.spec.kind == Kind::Gang {
+                let gang = due_tasks.get(&(p, r.request)).copied().unwrap_or(0);
+                if gang < live.unclaimed() || live.claimed > 0 {
+                    continue;
+                }
+            }
             let team = live.record.spec.team.clone();
             let each = live.each;
             tasks = self.within_slice(&team, &plan.pool, &mut usage, each, tasks);
--- a/crates/cleatfold-plan/src/chart.rs
+++ b/crates/cleatfold-plan/src/chart.rs
@@ -83,6 +83,23 @@
         None
     }
 
+    /// How many tasks can run from `start` on, and until when.
+    fn room(&self, request: &Request, start: Ms, tasks: u32) -> (Ms, u32) {
+        let finish = self.finish(request, start);
+        let first = self.steps.partition_point(|s| s.0 <= start);
+        if first == 0 {
+            return (finish, 0);
+        }
+        let mut count = tasks;
+        for (at, free) in &self.steps[first - 1..] {
+            if *at >= finish || count == 0 {
+                break;
+            }
+            count = free.fits(&request.each, count);
+        }
+        (finish, count)
+    }
+
     /// When a task started at `start` is expected to end: image first, then the work.
     fn finish(&self, request: &Request, start: Ms) -> Ms {
         let fetched = start.plus_s(request.image_gb / self.fetch_gb_per_s.max(0.001));
@@ -112,6 +129,8 @@
     pub image: ImageId,
     pub image_gb: f64,
     pub spot: bool,
+    /// All tasks start at the same time, over as many machines as it takes.
+    pub gang: bool,
     /// Machines (by index) that this job should not use.
     pub avoid: Vec<usize>,
 }
@@ -127,6 +146,44 @@
     pub tasks: u32,
 }
 
+/// Reserves a gang at the first moment at which all of its tasks fit.
+fn plan_gang(
+    machines: &mut [MachineChart],
+    usable: &[usize],
+    number: usize,
+    request: &Request,
+    out: &mut Vec<Reservation>,
+) {
+    let mut starts: Vec<Ms> =
+        usable.iter().flat_map(|&i| machines[i].steps.iter().map(|s| s.0)).collect();
+    starts.sort_unstable();
+    starts.dedup();
+    for start in starts {
+        let mut left = request.tasks;
+        let mut parts: Vec<(usize, u32, Ms)> = Vec::new();
+        for &i in usable {
+            if left == 0 {
+                break;
+            }
+            let (finish, count) = machines[i].room(request, start, left);
+            if count > 0 {
+                parts.push((i, count, finish));
+                left -= count;
+            }
+        }
+        if left > 0 {
+            continue;
+        }
+        // They wait for one another: the last image holds them all.
+        let finish = parts.iter().map(|p| p.2).max().unwrap_or(start);
+        for (i, tasks, _) in parts {
+            machines[i].carve(start, finish, request.each.times(tasks));
+            out.push(Reservation { request: number, machine: i, start, finish, tasks });
+        }
+        return;
+    }
+}
+
 /// Reserves every request in order, with at most `chunks` reservations in all. What has none
 /// left simply waits unreserved behind all the others.
 pub fn plan(
@@ -138,6 +195,16 @@
     for (r, request) in requests.iter().enumerate() {
         let usable =
             |i: usize, m: &MachineChart| (request.spot || !m.spot) && !request.avoid.contains(&i);
+        if request.gang {
+            let usable: Vec<usize> =
+                (0..machines.len()).filter(|&i| usable(i, &machines[i])).collect();
+            plan_gang(machines, &usable, r, request, &mut out);
+            chunks = chunks.saturating_sub(1);
+            if chunks == 0 {
+                break;
+            }
+            continue;
+        }
         let mut left = request.tasks;
         let mut candidates: Vec<Option<(Ms, Ms, u32)>> = machines
             .iter()
--- a/crates/cleatfold-wire/src/job.rs
+++ b/crates/cleatfold-wire/src/job.rs
@@ -12,6 +12,9 @@
 pub enum Kind {
     #[serde(rename = "batch")]
     Array,
+    /// All tasks run at the same time or none does.
+    #[serde(rename = "gang")]
+    Gang,
     #[serde(rename = "service")]
     Service,
 }
