--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -159,7 +159,7 @@
             local.abort = false;
             return None;
         };
-        let mut record = (*live).record.clone();
+        let mut record = live.record.clone();
         let parts = self.mirror.parts.get(job);
         let mut touched: BTreeMap<u32, Table> = BTreeMap::new();
         let mut txn = Txn::default();
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -254,72 +254,63 @@
 
     // ---- renting ----
 
+    /// Rents for the work that the machines we have will not get through in time. Goes through
+    /// the queue in order and lets each job take what it may use of the supply; what it lacks
+    /// then is rented in the pool that suits it best. (Renting for the sum of the queue once
+    /// filled the region with machines that the waiting jobs could not use.)
     fn rent(&mut self) {
         if self.rent_inflight > 1 || self.list_at.is_none() {
             return;
         }
-        let mut parallel = 0.0;
-        let mut work = 0.0;
-        let mut spot_work = 0.0;
-        for live in self.mirror.jobs.values().filter(|j| !j.record.aborted) {
-            let spec = &live.record.spec;
-            let tasks = f64::from(live.unclaimed()) + f64::from(live.claimed);
-            parallel += tasks * spec.cpus;
-            let run = if spec.kind == Kind::Service { 1e6 } else { spec.estimate_s.max(1.0) };
-            let w = (f64::from(live.unclaimed()) + 0.5 * f64::from(live.claimed)) * spec.cpus * run;
-            work += w;
-            if spec.spot {
-                spot_work += w;
-            }
-        }
-        let supply: f64 = self
-            .fleet
-            .machines
-            .values()
-            .filter(|m| !m.draining && !m.deleting && m.notice.is_none())
-            .map(|m| self.fleet.total(&m.pool.machine_type).cpus as f64 / 1000.0)
-            .sum();
-        let wanted = parallel.min(work / self.cfg.drain_target_s);
-        let deficit = wanted - supply;
-        if deficit <= 0.0 {
-            return;
-        }
-        let queue = self.queue();
-        let mut offers: Vec<(f64, PoolId, bool, f64)> = Vec::new();
-        for pool in self.fleet.pools() {
-            let Some(kind) = self.fleet.types.get(&pool.machine_type) else {
-                continue;
-            };
-            let useful = queue.iter().any(|(id, _)| {
-                self.mirror.jobs.get(id).is_some_and(|live| self.may_use(live, &pool))
-            });
-            if !useful || kind.cpus <= 0.0 {
+        let target = self.cfg.drain_target_s;
+        let mut supply: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
+        for (id, m) in &self.fleet.machines {
+            if m.draining || m.deleting || m.notice.is_some() {
                 continue;
             }
-            for spot in [true, false] {
-                if spot && spot_work < 0.6 * work {
-                    continue;
+            let mut free = self.fleet.total(&m.pool.machine_type).cpus as f64 / 1000.0;
+            for ((job, _), _) in self.mirror.claims.get(id).into_iter().flatten() {
+                if let Some(live) = self.mirror.jobs.get(job) {
+                    let spec = &live.record.spec;
+                    free -= spec.cpus * (0.5 * spec.estimate_s / target).min(1.0);
                 }
-                let blocked = self
-                    .refused
-                    .get(&(pool.clone(), spot))
-                    .is_some_and(|at| self.now.since(*at) < 20_000);
-                if blocked {
+            }
+            *supply.entry((m.pool.clone(), m.spot)).or_default() += free.max(0.0);
+        }
+        let mut lacking: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
+        for (id, unclaimed) in self.queue() {
+            let Some(live) = self.mirror.jobs.get(&id) else { continue };
+            let spec = &live.record.spec;
+            let run = if spec.kind == Kind::Array { spec.estimate_s.max(1.0) } else { target };
+            let all = f64::from(unclaimed) * spec.cpus;
+            let mut lack = all.min(all * run / target).max(spec.cpus);
+            // Of a spread job, each zone can take only half.
+            let mut zones: HashMap<ZoneId, f64> = HashMap::new();
+            let per_zone = if spec.spread { all / 2.0 + spec.cpus } else { f64::INFINITY };
+            for ((pool, spot), free) in &mut supply {
+                if (*spot && !spec.spot) || !self.may_use(live, pool) {
                     continue;
                 }
-                let price = if spot { kind.spot_price } else { kind.price };
-                let rank = price / kind.cpus * (1.0 + kind.boot_s / 60.0);
-                offers.push((rank, pool.clone(), spot, kind.cpus));
+                let zone = zones.entry(pool.zone.clone()).or_default();
+                let take = lack.min(*free).min(per_zone - *zone).max(0.0);
+                *free -= take;
+                *zone += take;
+                lack -= take;
+            }
+            if lack > 1e-9 {
+                if let Some(offer) = self.best_offer(live, &lacking, &zones, per_zone) {
+                    *lacking.entry(offer).or_default() += lack;
+                }
             }
         }
-        offers.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let Some((_, pool, spot, cpus)) = offers.into_iter().next() else {
-            return;
-        };
-        let Some(incarnation) = self.incarnation else {
+        let Some(((pool, spot), lack)) =
+            lacking.into_iter().max_by(|a, b| a.1.total_cmp(&b.1).then(b.0.cmp(&a.0)))
+        else {
             return;
         };
-        let count = ((deficit / cpus).ceil() as u32).clamp(1, 8);
+        let Some(incarnation) = self.incarnation else { return };
+        let cpus = self.fleet.types.get(&pool.machine_type).map_or(1.0, |t| t.cpus.max(0.1));
+        let count = ((lack / cpus).ceil() as u32).clamp(1, 8);
         self.rent_count += 1;
         let request = RentRequest {
             request: format!("{}-{}-{}", self.cfg.me, incarnation, self.rent_count),
@@ -328,12 +319,48 @@
             spot,
             count,
         };
-        tracing::info!(%pool, spot, count, wanted, supply, "renting");
+        tracing::info!(%pool, spot, count, lack, "renting");
         self.rent_inflight += 1;
         let pending = Pending::Rent { request: request.clone(), tries: 0 };
         self.cloud(CloudRequest::Rent(request), pending);
     }
 
+    /// Where to rent for a job: cheap per processor, soon up, and not all in one place.
+    fn best_offer(
+        &self,
+        live: &crate::mirror::Live,
+        lacking: &BTreeMap<(PoolId, bool), f64>,
+        zones: &HashMap<ZoneId, f64>,
+        per_zone: f64,
+    ) -> Option<(PoolId, bool)> {
+        let mut best: Option<(f64, (PoolId, bool))> = None;
+        for pool in self.fleet.pools() {
+            let Some(kind) = self.fleet.types.get(&pool.machine_type) else { continue };
+            let full = zones.get(&pool.zone).is_some_and(|z| *z >= per_zone);
+            if full || kind.cpus <= 0.0 || !self.may_use(live, &pool) {
+                continue;
+            }
+            for spot in [true, false] {
+                let key = (pool.clone(), spot);
+                let refused = self.refused.get(&key).is_some_and(|at| self.now.since(*at) < 20_000);
+                if (spot && !live.record.spec.spot) || refused {
+                    continue;
+                }
+                let price = if spot { kind.spot_price } else { kind.price };
+                let crowd = 1.0 + 0.02 * self.fleet.in_pool(&pool).count() as f64;
+                let mut rank = price / kind.cpus * (1.0 + kind.boot_s / 60.0) * crowd;
+                if lacking.contains_key(&key) {
+                    // Fill what is being rented anyway.
+                    rank *= 0.9;
+                }
+                if best.as_ref().is_none_or(|b| rank < b.0) {
+                    best = Some((rank, key));
+                }
+            }
+        }
+        best.map(|b| b.1)
+    }
+
     // ---- the cloud's answers ----
 
     pub(crate) fn keep_cloud(&mut self) {
@@ -496,7 +523,18 @@
         let mut expired: Vec<(MachineId, PoolId, Token)> = Vec::new();
         let mut turned_silent = false;
         let idle_limit = (self.cfg.idle_return_s * 1000.0) as u64;
-        let queue_empty = self.mirror.jobs.values().all(|j| j.unclaimed() == 0);
+        let mut wanted: HashMap<(PoolId, bool), bool> = HashMap::new();
+        for (pool, spot) in
+            self.owned_since.keys().flat_map(|p| [(p.clone(), false), (p.clone(), true)])
+        {
+            let any = self.mirror.jobs.values().any(|j| {
+                !j.record.aborted
+                    && j.unclaimed() > 0
+                    && (!spot || j.record.spec.spot)
+                    && self.may_use(j, &pool)
+            });
+            wanted.insert((pool, spot), any);
+        }
         let own: Vec<MachineId> = self
             .fleet
             .machines
@@ -553,7 +591,8 @@
                 continue;
             }
             let idle_since = *m.idle_since.get_or_insert(now);
-            let unused = now.since(idle_since) > idle_limit && queue_empty;
+            let useless = !wanted.get(&(m.pool.clone(), m.spot)).copied().unwrap_or(false);
+            let unused = now.since(idle_since) > idle_limit && useless;
             if m.draining || unused {
                 delete.push(id);
             }
--- /dev/null
+++ b/crates/cleatfold-standin/src/cloud.rs
@@ -0,0 +1,78 @@
+//! The cloud: rents and deletes machines.
+
+use cleatfold_wire::cloud::*;
+use cleatfold_wire::*;
+use std::collections::{BTreeMap, HashMap};
+
+pub struct Rented {
+    pub machine_type: TypeId,
+    pub zone: ZoneId,
+    pub spot: bool,
+    pub at: Ms,
+    pub up: Ms,
+}
+
+#[derive(Default)]
+pub struct Cloud {
+    pub types: Vec<MachineType>,
+    pub machines: BTreeMap<MachineId, Rented>,
+    /// How many machines may exist.
+    pub capacity: usize,
+    requests: HashMap<String, Vec<MachineId>>,
+    next: u64,
+}
+
+impl Cloud {
+    /// The machines rented; `None` where there is no capacity.
+    pub fn rent(&mut self, now: Ms, request: &RentRequest) -> Option<Vec<MachineId>> {
+        if let Some(before) = self.requests.get(&request.request) {
+            return Some(before.clone());
+        }
+        let kind = self.types.iter().find(|t| t.name == request.machine_type)?;
+        let boot_ms = (kind.boot_s * 1000.0) as u64;
+        let mut names = Vec::new();
+        for _ in 0..request.count {
+            if self.machines.len() >= self.capacity {
+                break;
+            }
+            let id = MachineId::new(format!("vm-{:06}", self.next));
+            self.next += 1;
+            self.machines.insert(
+                id.clone(),
+                Rented {
+                    machine_type: request.machine_type.clone(),
+                    zone: request.zone.clone(),
+                    spot: request.spot,
+                    at: now,
+                    up: now.plus(boot_ms),
+                },
+            );
+            names.push(id);
+        }
+        if names.is_empty() {
+            return None;
+        }
+        self.requests.insert(request.request.clone(), names.clone());
+        Some(names)
+    }
+
+    pub fn delete(&mut self, ids: &[MachineId]) {
+        for id in ids {
+            self.machines.remove(id);
+        }
+    }
+
+    pub fn list(&self, now: Ms) -> Vec<ListedMachine> {
+        self.machines
+            .iter()
+            .map(|(id, m)| ListedMachine {
+                id: id.clone(),
+                machine_type: m.machine_type.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                state: if m.up <= now { MachineState::Running } else { MachineState::Booting },
+                age_s: now.since(m.at) as f64 / 1000.0,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-standin/src/worker.rs
@@ -0,0 +1,196 @@
+//! A worker: runs what it is told under the token and lease rules of the protocol.
+
+use cleatfold_wire::job::JobSpec;
+use cleatfold_wire::worker::{Command, Exit, Report, ReportReply, TaskReport, TaskState};
+use cleatfold_wire::*;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug)]
+pub struct Task {
+    pub attempt: Attempt,
+    /// Fetching until then.
+    pub ready: Ms,
+    /// Running until then.
+    pub ends: Ms,
+    pub exit: Option<Exit>,
+    pub each: (f64, f64),
+}
+
+pub struct Worker {
+    pub id: MachineId,
+    pub machine_type: TypeId,
+    pub zone: ZoneId,
+    pub spot: bool,
+    pub cpus: f64,
+    pub memory_gb: f64,
+    pub lease_ms: u64,
+    pub fetch_ms: u64,
+    pub session: u64,
+    pub seq: u64,
+    pub token: Token,
+    pub tasks: BTreeMap<(TaskId, Attempt), Task>,
+    /// When the last answered report of this session was sent.
+    pub renewed: Ms,
+}
+
+/// Something a watcher of the rules wants to know.
+#[derive(Debug, PartialEq)]
+pub enum Happening {
+    Started(TaskId),
+    Ended(TaskId, Exit),
+    /// Killed with the lease.
+    Dropped(TaskId),
+}
+
+impl Worker {
+    pub fn new(id: MachineId, machine_type: TypeId, zone: ZoneId, spot: bool, now: Ms) -> Self {
+        Self {
+            id,
+            machine_type,
+            zone,
+            spot,
+            cpus: 8.0,
+            memory_gb: 32.0,
+            lease_ms: 10_000,
+            fetch_ms: 500,
+            session: 1,
+            seq: 0,
+            token: Token(0),
+            tasks: BTreeMap::new(),
+            renewed: now,
+        }
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.id.clone(),
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: Session(self.session),
+            seq: Seq(self.seq),
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((task, attempt), t)| TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    state: match t.exit {
+                        Some(_) => TaskState::Exited,
+                        None if t.ready > self.renewed => TaskState::Fetching,
+                        None => TaskState::Running,
+                    },
+                    why: t.exit,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    /// The answer to the report sent at `sent` in `session`, executed at `now`. `job` finds a
+    /// submitted job and how long its task runs.
+    pub fn answer(
+        &mut self,
+        now: Ms,
+        sent: Ms,
+        session: u64,
+        reply: &ReportReply,
+        job: impl Fn(&TaskId) -> Option<(JobSpec, u64, bool)>,
+    ) -> Vec<Happening> {
+        let mut out = Vec::new();
+        if session != self.session || reply.token < self.token {
+            return out;
+        }
+        self.token = reply.token;
+        self.renewed = self.renewed.max(sent);
+        for command in &reply.commands {
+            match command {
+                Command::Start { task, attempt } => {
+                    if let Some(h) = self.launch(now, task, *attempt, &job) {
+                        out.push(h);
+                    }
+                }
+                Command::Stop { task, attempt, .. } => {
+                    if let Some(t) = self.tasks.get_mut(&(task.clone(), *attempt)) {
+                        if t.exit.is_none() {
+                            t.exit = Some(Exit::Stopped);
+                            out.push(Happening::Ended(task.clone(), Exit::Stopped));
+                        }
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    if self.tasks.get(&key).is_some_and(|t| t.exit.is_some()) {
+                        self.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+        out
+    }
+
+    fn launch(
+        &mut self,
+        now: Ms,
+        task: &TaskId,
+        attempt: Attempt,
+        job: &impl Fn(&TaskId) -> Option<(JobSpec, u64, bool)>,
+    ) -> Option<Happening> {
+        let key = (task.clone(), attempt);
+        if self.tasks.contains_key(&key) {
+            return None;
+        }
+        let mut new = Task { attempt, ready: now, ends: now, exit: None, each: (0.0, 0.0) };
+        let busy = self.tasks.iter().any(|((t, _), s)| t == task && s.exit.is_none());
+        let used = self
+            .tasks
+            .values()
+            .filter(|t| t.exit.is_none())
+            .fold((0.0, 0.0), |a, t| (a.0 + t.each.0, a.1 + t.each.1));
+        match job(task) {
+            None => new.exit = Some(Exit::Unknown),
+            Some(_) if busy => new.exit = Some(Exit::Busy),
+            Some((spec, _, _))
+                if used.0 + spec.cpus > self.cpus + 1e-6
+                    || used.1 + spec.memory_gb > self.memory_gb + 1e-6 =>
+            {
+                new.exit = Some(Exit::NoRoom)
+            }
+            Some((spec, run_ms, fails)) => {
+                new.each = (spec.cpus, spec.memory_gb);
+                new.ready = now.plus(self.fetch_ms);
+                new.ends = new.ready.plus(run_ms);
+                if fails {
+                    new.exit = Some(Exit::Error);
+                }
+            }
+        }
+        let started = new.exit.is_none();
+        self.tasks.insert(key, new);
+        started.then(|| Happening::Started(task.clone()))
+    }
+
+    /// Lets time pass: tasks end, and so may the lease.
+    pub fn pass(&mut self, now: Ms) -> Vec<Happening> {
+        let mut out = Vec::new();
+        if now.since(self.renewed) > self.lease_ms {
+            for ((task, _), t) in std::mem::take(&mut self.tasks) {
+                if t.exit.is_none() {
+                    out.push(Happening::Dropped(task));
+                }
+            }
+            self.session += 1;
+            self.renewed = now;
+        }
+        for ((task, _), t) in &mut self.tasks {
+            if t.exit.is_none() && t.ends <= now {
+                t.exit = Some(Exit::Done);
+                out.push(Happening::Ended(task.clone(), Exit::Done));
+            }
+        }
+        out
+    }
+}
