--- a/crates/cleatfold-control/src/fleet.rs
+++ b/crates/cleatfold-control/src/fleet.rs
@@ -4,7 +4,7 @@
 use cleatfold_wire::cloud::{MachineState, MachineType};
 use cleatfold_wire::worker::TaskReport;
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Clone, Debug)]
 pub struct LastReport {
@@ -32,9 +32,9 @@
     /// Images it holds, the most recently used last.
     pub images: VecDeque<(ImageId, f64)>,
     /// When tasks were first seen running.
-    pub started: HashMap<(JobId, TaskIx), Ms>,
+    pub started: BTreeMap<(JobId, TaskIx), Ms>,
     /// Jobs that failed here.
-    pub failed_jobs: HashSet<JobId>,
+    pub failed_jobs: BTreeSet<JobId>,
     pub failed_at: Ms,
     /// Being emptied to be returned.
     pub draining: bool,
@@ -58,8 +58,8 @@
             answered: None,
             notice: None,
             images: VecDeque::new(),
-            started: HashMap::new(),
-            failed_jobs: HashSet::new(),
+            started: BTreeMap::new(),
+            failed_jobs: BTreeSet::new(),
             failed_at: Ms(0),
             draining: false,
             deleting: false,
@@ -92,7 +92,7 @@
     pub types: BTreeMap<TypeId, MachineType>,
     pub machines: BTreeMap<MachineId, Machine>,
     /// Deleted with proof; late news about them is ignored.
-    deleted: HashSet<MachineId>,
+    deleted: BTreeSet<MachineId>,
     deleted_order: VecDeque<MachineId>,
 }
 
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -12,7 +12,7 @@
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::worker::Exit;
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A claim that is over, with proof.
 #[derive(Clone, Debug, PartialEq)]
@@ -468,7 +468,7 @@
         let gone = !self.mirror.jobs.contains_key(&job);
         let local = self.local(&job);
         local.busy = false;
-        let over: HashSet<(TaskIx, Attempt)> = tx.ends.iter().map(|e| (e.ix, e.attempt)).collect();
+        let over: BTreeSet<(TaskIx, Attempt)> = tx.ends.iter().map(|e| (e.ix, e.attempt)).collect();
         local.ends.retain(|e| !over.contains(&(e.ix, e.attempt)));
         if state == JobState::Aborted {
             local.abort = false;
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -15,7 +15,7 @@
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A pool that changed hands is left where it is for so long.
 const SETTLE_MS: u64 = 10_000;
@@ -175,7 +175,7 @@
     fn assign(&mut self) {
         self.assigned_at = self.now;
         let pools = self.fleet.pools();
-        let index: HashMap<&PoolId, usize> =
+        let index: BTreeMap<&PoolId, usize> =
             pools.iter().enumerate().map(|(i, p)| (p, i)).collect();
         let mut loads = vec![Load { work: 0.0, processors: 0.0 }; pools.len()];
         for m in self.fleet.machines.values() {
@@ -285,7 +285,7 @@
             let all = f64::from(unclaimed) * spec.cpus;
             let mut lack = all.min(all * run / target).max(spec.cpus);
             // Of a spread job, each zone can take only half.
-            let mut zones: HashMap<ZoneId, f64> = HashMap::new();
+            let mut zones: BTreeMap<ZoneId, f64> = BTreeMap::new();
             let per_zone = if spec.spread { all / 2.0 + spec.cpus } else { f64::INFINITY };
             for ((pool, spot), free) in &mut supply {
                 if (*spot && !spec.spot) || !self.may_use(live, pool) {
@@ -330,7 +330,7 @@
         &self,
         live: &crate::mirror::Live,
         lacking: &BTreeMap<(PoolId, bool), f64>,
-        zones: &HashMap<ZoneId, f64>,
+        zones: &BTreeMap<ZoneId, f64>,
         per_zone: f64,
     ) -> Option<(PoolId, bool)> {
         let mut best: Option<(f64, (PoolId, bool))> = None;
@@ -523,7 +523,7 @@
         let mut expired: Vec<(MachineId, PoolId, Token)> = Vec::new();
         let mut turned_silent = false;
         let idle_limit = (self.cfg.idle_return_s * 1000.0) as u64;
-        let mut wanted: HashMap<(PoolId, bool), bool> = HashMap::new();
+        let mut wanted: BTreeMap<(PoolId, bool), bool> = BTreeMap::new();
         for (pool, spot) in
             self.owned_since.keys().flat_map(|p| [(p.clone(), false), (p.clone(), true)])
         {
@@ -639,7 +639,7 @@
 
     /// Machines that only their claims tell of: taken over from a former owner, or deleted.
     fn adopt_claimed_machines(&mut self) {
-        let unknown: HashSet<MachineId> = self
+        let unknown: BTreeSet<MachineId> = self
             .mirror
             .claims
             .keys()
@@ -692,7 +692,7 @@
                 (p.clone(), o.0, self.fleet.total(&p.machine_type).times(n))
             })
             .collect();
-        let mut need: HashMap<(TeamId, usize), Resources> = HashMap::new();
+        let mut need: BTreeMap<(TeamId, usize), Resources> = BTreeMap::new();
         for (id, live) in &self.mirror.jobs {
             if live.record.aborted || live.unclaimed() == 0 {
                 continue;
--- a/crates/cleatfold-control/src/mirror.rs
+++ b/crates/cleatfold-control/src/mirror.rs
@@ -8,7 +8,7 @@
 use cleatfold_plan::Resources;
 use cleatfold_wire::store::{Event, Item};
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 pub type PartMap = BTreeMap<u32, (Version, Table)>;
 
@@ -46,16 +46,16 @@
 pub struct Mirror {
     /// Every change up to this revision is in.
     pub applied: Version,
-    pub jobs: HashMap<JobId, Live>,
-    pub parts: HashMap<JobId, PartMap>,
+    pub jobs: BTreeMap<JobId, Live>,
+    pub parts: BTreeMap<JobId, PartMap>,
     pub pools: BTreeMap<PoolId, Holding>,
     pub nodes: BTreeMap<NodeId, (u64, Version)>,
     pub leader: Option<(NodeId, Version)>,
-    pub slices: HashMap<TeamId, (Version, SliceRecord)>,
+    pub slices: BTreeMap<TeamId, (Version, SliceRecord)>,
     /// All claims, by machine.
-    pub claims: HashMap<MachineId, MachineClaims>,
+    pub claims: BTreeMap<MachineId, MachineClaims>,
     /// Versions of keys that are gone, newest last, against late news about them.
-    removed: HashMap<String, Version>,
+    removed: BTreeMap<String, Version>,
     removed_order: VecDeque<String>,
     /// Jobs that went since this was last looked at.
     pub gone: Vec<JobId>,
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -12,7 +12,7 @@
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A call to the state service or the cloud that has no answer yet.
 #[derive(Debug)]
@@ -98,7 +98,7 @@
     pub(crate) wall_ms: u64,
     pub(crate) out: Vec<Effect>,
     pub(crate) next_op: u64,
-    pub(crate) ops: HashMap<u64, Pending>,
+    pub(crate) ops: BTreeMap<u64, Pending>,
     pub(crate) resend: Vec<(Ms, u64, Lane, StoreRequest)>,
 
     pub(crate) mirror: Mirror,
@@ -123,9 +123,9 @@
     pub(crate) leader_since: Option<Ms>,
     pub(crate) dealing: Option<u64>,
     pub(crate) deal_settled: Ms,
-    pub(crate) dealt: HashMap<PoolId, Ms>,
+    pub(crate) dealt: BTreeMap<PoolId, Ms>,
 
-    pub(crate) locals: HashMap<JobId, Local>,
+    pub(crate) locals: BTreeMap<JobId, Local>,
     pub(crate) submissions: VecDeque<Submission>,
     pub(crate) submit_inflight: bool,
     pub(crate) waiting: Vec<Waiting>,
@@ -138,20 +138,20 @@
     pub(crate) list_at: Option<Ms>,
     pub(crate) list_acc: Vec<cleatfold_wire::cloud::ListedMachine>,
     pub(crate) owned_since: BTreeMap<PoolId, (Token, Ms)>,
-    pub(crate) strays: HashMap<MachineId, VecDeque<Ms>>,
+    pub(crate) strays: BTreeMap<MachineId, VecDeque<Ms>>,
     pub(crate) last_tick: Ms,
 
     pub(crate) peers: BTreeMap<NodeId, Peer>,
     /// Pools under a higher token than we have read, as told by their owners.
-    pub(crate) hinted: HashMap<PoolId, (NodeId, Token)>,
+    pub(crate) hinted: BTreeMap<PoolId, (NodeId, Token)>,
     pub(crate) alive_sent: Ms,
     pub(crate) plans: Plans,
     pub(crate) dirty: bool,
-    pub(crate) refused: HashMap<(PoolId, bool), Ms>,
+    pub(crate) refused: BTreeMap<(PoolId, bool), Ms>,
     pub(crate) rent_inflight: usize,
     pub(crate) rent_count: u64,
     pub(crate) assigned_at: Ms,
-    pub(crate) slices_inflight: HashSet<TeamId>,
+    pub(crate) slices_inflight: BTreeSet<TeamId>,
     pub(crate) slices_at: Ms,
     pub(crate) cleanup_inflight: bool,
     /// Claims may stand that we have not read yet; no claim for a limited team until we have.
@@ -167,7 +167,7 @@
             wall_ms: 0,
             out: Vec::new(),
             next_op: 1,
-            ops: HashMap::new(),
+            ops: BTreeMap::new(),
             resend: Vec::new(),
             mirror: Mirror::default(),
             loaded: false,
@@ -188,8 +188,8 @@
             leader_since: None,
             dealing: None,
             deal_settled: Ms(0),
-            dealt: HashMap::new(),
-            locals: HashMap::new(),
+            dealt: BTreeMap::new(),
+            locals: BTreeMap::new(),
             submissions: VecDeque::new(),
             submit_inflight: false,
             waiting: Vec::new(),
@@ -201,18 +201,18 @@
             list_at: None,
             list_acc: Vec::new(),
             owned_since: BTreeMap::new(),
-            strays: HashMap::new(),
+            strays: BTreeMap::new(),
             last_tick: Ms(0),
             peers,
-            hinted: HashMap::new(),
+            hinted: BTreeMap::new(),
             alive_sent: Ms(0),
             plans: Plans::default(),
             dirty: false,
-            refused: HashMap::new(),
+            refused: BTreeMap::new(),
             rent_inflight: 0,
             rent_count: 0,
             assigned_at: Ms(0),
-            slices_inflight: HashSet::new(),
+            slices_inflight: BTreeSet::new(),
             slices_at: Ms(0),
             cleanup_inflight: false,
             limits_blind: None,
@@ -465,7 +465,7 @@
             .filter(|(_, h)| h.owner == self.cfg.me && Some(h.incarnation) == self.incarnation)
             .map(|(id, h)| (id.clone(), h.token))
             .collect();
-        let owned: HashSet<&PoolId> = mine.iter().map(|m| &m.0).collect();
+        let owned: BTreeSet<&PoolId> = mine.iter().map(|m| &m.0).collect();
         self.owned_since.retain(|pool, _| owned.contains(pool));
         for (pool, token) in mine {
             if self.owned_since.get(&pool).map(|o| o.0) == Some(token) {
--- a/crates/cleatfold-control/src/requests.rs
+++ b/crates/cleatfold-control/src/requests.rs
@@ -8,12 +8,12 @@
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// Answers that are final may be kept: they never change. Bounded; the archive has them all.
 #[derive(Default)]
 pub(crate) struct Terminal {
-    states: HashMap<JobId, (JobState, u32)>,
+    states: BTreeMap<JobId, (JobState, u32)>,
     order: VecDeque<JobId>,
 }
 
@@ -111,7 +111,7 @@
         let (ripe, rest) =
             std::mem::take(&mut self.waiting).into_iter().partition(|w| w.arrived <= sent);
         self.waiting = rest;
-        let mut unknown: HashMap<JobId, Vec<Waiting>> = HashMap::new();
+        let mut unknown: BTreeMap<JobId, Vec<Waiting>> = BTreeMap::new();
         for w in ripe {
             let w: Waiting = w;
             if let Some(status) = self.terminal.get(&w.job) {
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -10,7 +10,7 @@
 use cleatfold_wire::mesh::{Message, Promise};
 use cleatfold_wire::worker::TaskState;
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// Reservations per pool and planning. What lies beyond waits unreserved.
 const CHUNKS: usize = 400;
@@ -26,7 +26,7 @@
     planned: Ms,
     told: Ms,
     /// Promises of other nodes' pools: when they came, and per job when tasks finish.
-    remote: HashMap<PoolId, (Token, Ms, HashMap<JobId, Finishes>)>,
+    remote: BTreeMap<PoolId, (Token, Ms, BTreeMap<JobId, Finishes>)>,
 }
 
 impl Plans {
@@ -288,7 +288,7 @@
     /// Turns reservations that start now into wishes to claim, soonest finish first, unless
     /// the other pools promise to have all that is left of the job done earlier.
     fn start_what_is_due(&mut self, queue: &[(JobId, u32)], plans: &[PoolPlan]) {
-        let mut left: HashMap<&JobId, u32> = queue.iter().map(|(id, n)| (id, *n)).collect();
+        let mut left: BTreeMap<&JobId, u32> = queue.iter().map(|(id, n)| (id, *n)).collect();
         let mut due: Vec<(usize, &Reservation)> = Vec::new();
         for (p, plan) in plans.iter().enumerate() {
             due.extend(
@@ -299,7 +299,7 @@
             );
         }
         // Of a gang, all starts are due or none is.
-        let mut due_tasks: HashMap<(usize, usize), u32> = HashMap::new();
+        let mut due_tasks: BTreeMap<(usize, usize), u32> = BTreeMap::new();
         for (p, r) in &due {
             *due_tasks.entry((*p, r.request)).or_default() += r.tasks;
         }
@@ -409,8 +409,8 @@
 
     /// What limited teams use in our pools: every claim counts until it is proven over, and
     /// so does every claim that is on its way.
-    pub(crate) fn limited_usage(&self) -> HashMap<(TeamId, String), Resources> {
-        let mut usage: HashMap<(TeamId, String), Resources> = HashMap::new();
+    pub(crate) fn limited_usage(&self) -> BTreeMap<(TeamId, String), Resources> {
+        let mut usage: BTreeMap<(TeamId, String), Resources> = BTreeMap::new();
         let limited = |team: &TeamId| self.cfg.team(team).is_some_and(|t| t.is_limited());
         for (id, live) in &self.mirror.jobs {
             let team = &live.record.spec.team;
@@ -448,7 +448,7 @@
         &self,
         team: &TeamId,
         pool: &PoolId,
-        usage: &mut HashMap<(TeamId, String), Resources>,
+        usage: &mut BTreeMap<(TeamId, String), Resources>,
         each: Resources,
         tasks: u32,
     ) -> u32 {
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -12,7 +12,7 @@
 use crate::node::Node;
 use cleatfold_wire::worker::{Command, Exit, Report, ReportReply, TaskState};
 use cleatfold_wire::*;
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 
 /// How a worker that cannot reach its owner shows: it comes to us again and again.
 const STRAY_WINDOW_MS: u64 = 15_000;
@@ -93,8 +93,8 @@
         let notice = machine.notice;
 
         let mut commands = Vec::new();
-        let mut listed: HashSet<(JobId, TaskIx)> = HashSet::new();
-        let alive: HashSet<TaskId> = report
+        let mut listed: BTreeSet<(JobId, TaskIx)> = BTreeSet::new();
+        let alive: BTreeSet<TaskId> = report
             .tasks
             .iter()
             .filter(|t| t.state != TaskState::Exited)
--- a/crates/cleatfold-control/tests/world.rs
+++ b/crates/cleatfold-control/tests/world.rs
@@ -15,7 +15,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 const NODES: usize = 3;
 const LEASE_MS: u64 = 10_000;
@@ -103,7 +103,7 @@
     rng: SmallRng,
     now: Ms,
     queue: BinaryHeap<Reverse<(Ms, u64)>>,
-    events: HashMap<u64, Happens>,
+    events: BTreeMap<u64, Happens>,
     number: u64,
     nodes: Vec<Option<Node>>,
     lives: Vec<u32>,
@@ -115,8 +115,8 @@
     workers: BTreeMap<MachineId, Worker>,
     links: BTreeMap<MachineId, Link>,
     jobs: BTreeMap<JobId, JobWatch>,
-    running: HashMap<TaskId, MachineId>,
-    asked: HashMap<(usize, u64), Asked>,
+    running: BTreeMap<TaskId, MachineId>,
+    asked: BTreeMap<(usize, u64), Asked>,
     next_rid: u64,
     next_job: u32,
     broken: Vec<String>,
@@ -177,7 +177,7 @@
             rng: SmallRng::seed_from_u64(seed),
             now: Ms(1000),
             queue: BinaryHeap::new(),
-            events: HashMap::new(),
+            events: BTreeMap::new(),
             number: 0,
             nodes: (0..NODES).map(|i| Some(Node::new(config(i)))).collect(),
             lives: vec![0; NODES],
@@ -189,8 +189,8 @@
             workers: BTreeMap::new(),
             links: BTreeMap::new(),
             jobs: BTreeMap::new(),
-            running: HashMap::new(),
-            asked: HashMap::new(),
+            running: BTreeMap::new(),
+            asked: BTreeMap::new(),
             next_rid: 0,
             next_job: 0,
             broken: Vec::new(),
@@ -771,7 +771,7 @@
         let world = play(seed, false);
         assert!(world.started > 50, "seed {seed}: only {} starts", world.started);
         assert_eq!(world.unfinished(), Vec::<JobId>::new(), "seed {seed}");
-        let told: HashSet<_> =
+        let told: BTreeSet<_> =
             world.jobs.values().filter_map(|j| j.told).map(|s| s as u8).collect();
         assert!(told.contains(&(JobState::Done as u8)));
     }
--- a/crates/cleatfold-standin/src/cloud.rs
+++ b/crates/cleatfold-standin/src/cloud.rs
@@ -2,7 +2,7 @@
 
 use cleatfold_wire::cloud::*;
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 pub struct Rented {
     pub machine_type: TypeId,
@@ -18,7 +18,7 @@
     pub machines: BTreeMap<MachineId, Rented>,
     /// How many machines may exist.
     pub capacity: usize,
-    requests: HashMap<String, Vec<MachineId>>,
+    requests: BTreeMap<String, Vec<MachineId>>,
     next: u64,
 }
 
--- a/crates/cleatfold-standin/src/store.rs
+++ b/crates/cleatfold-standin/src/store.rs
@@ -3,7 +3,7 @@
 use cleatfold_wire::store::{Change, Event, Events, Item, Page, Txn};
 use cleatfold_wire::{LeaseId, Ms, Version};
 use serde_json::value::RawValue;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 struct Entry {
     value: Box<RawValue>,
@@ -16,7 +16,7 @@
     entries: BTreeMap<String, Entry>,
     revision: u64,
     log: Vec<Event>,
-    leases: HashMap<LeaseId, (u64, Ms)>,
+    leases: BTreeMap<LeaseId, (u64, Ms)>,
     next_lease: u64,
 }
 
