--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -673,7 +673,9 @@
 
     /// Moves what our pools may use of limited teams' limits. Only a pool's owner changes the
     /// pool's part, guarded by the pool's version; so the parts never add up to more than the
-    /// limit, and what a pool uses never exceeds its part.
+    /// limit, and what a pool uses never exceeds its part. A pool asks only for what it could
+    /// start right now: asking for all that waits let a pool whose machines the waiting jobs
+    /// could not use keep the whole limit, and the team stood still.
     pub(crate) fn keep_slices(&mut self) {
         if self.now.since(self.slices_at) < 250 || !self.in_contact() {
             return;
@@ -692,19 +694,6 @@
                 (p.clone(), o.0, self.fleet.total(&p.machine_type).times(n))
             })
             .collect();
-        let mut need: BTreeMap<(TeamId, usize), Resources> = BTreeMap::new();
-        for (id, live) in &self.mirror.jobs {
-            if live.record.aborted || live.unclaimed() == 0 {
-                continue;
-            }
-            let sent = self.locals.get(id).map(|l| l.pools.as_slice()).unwrap_or_default();
-            for (i, (pool, _, _)) in own.iter().enumerate() {
-                if self.may_use(live, pool) && (sent.is_empty() || sent.contains(pool)) {
-                    *need.entry((live.record.spec.team.clone(), i)).or_default() +=
-                        live.each.times(live.unclaimed());
-                }
-            }
-        }
         let teams: Vec<crate::config::Team> =
             self.cfg.teams.iter().filter(|t| t.is_limited()).cloned().collect();
         for team in teams {
@@ -717,11 +706,12 @@
             let mut free = (max.cpus - taken.0, max.gpus - taken.1);
             let mut new = record.clone();
             let mut txn = Txn::default();
-            for (i, (pool, token, capacity)) in own.iter().enumerate() {
+            for (pool, token, capacity) in &own {
                 let name = pool.to_string();
                 let used =
                     usage.get(&(team.name.clone(), name.clone())).copied().unwrap_or_default();
-                let asked = need.get(&(team.name.clone(), i)).copied().unwrap_or_default();
+                let asked =
+                    self.short.get(&(team.name.clone(), name.clone())).copied().unwrap_or_default();
                 let old = record.pools.get(&name).copied().unwrap_or_default();
                 let part = (
                     resize(old.0, used.cpus, asked.cpus, capacity.cpus, &mut free.0, max.cpus),
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -7,6 +7,7 @@
 use crate::mirror::Mirror;
 use crate::records::*;
 use crate::schedule::Plans;
+use cleatfold_plan::Resources;
 use cleatfold_wire::cloud::RentRequest;
 use cleatfold_wire::job::JobSpec;
 use cleatfold_wire::mesh::Message;
@@ -153,6 +154,8 @@
     pub(crate) assigned_at: Ms,
     pub(crate) slices_inflight: BTreeSet<TeamId>,
     pub(crate) slices_at: Ms,
+    /// What the last planning could have started but for the pool's part of a team's limit.
+    pub(crate) short: BTreeMap<(TeamId, String), Resources>,
     pub(crate) cleanup_inflight: bool,
     /// Claims may stand that we have not read yet; no claim for a limited team until we have.
     pub(crate) limits_blind: Option<Ms>,
@@ -214,6 +217,7 @@
             assigned_at: Ms(0),
             slices_inflight: BTreeSet::new(),
             slices_at: Ms(0),
+            short: BTreeMap::new(),
             cleanup_inflight: false,
             limits_blind: None,
         }
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -305,6 +305,7 @@
         }
         due.sort_by_key(|(p, r)| (r.finish, *p, r.request, r.machine));
         let mut usage = self.limited_usage();
+        self.short.clear();
         for (p, r) in due {
             let plan = &plans[p];
             let job = &plan.jobs[r.request];
@@ -333,7 +334,12 @@
             }
             let team = live.record.spec.team.clone();
             let each = live.each;
-            tasks = self.within_slice(&team, &plan.pool, &mut usage, each, tasks);
+            let fits = self.within_slice(&team, &plan.pool, &mut usage, each, tasks);
+            if fits < tasks {
+                let key = (team, plan.pool.to_string());
+                *self.short.entry(key).or_default() += each.times(tasks - fits);
+            }
+            tasks = fits;
             if tasks == 0 {
                 continue;
             }
