--- a/crates/cleatfold-control/src/config.rs
+++ b/crates/cleatfold-control/src/config.rs
@@ -1,6 +1,6 @@
 //! What a controller is told at its start, from the platform's settings and the operator's.
 
-use cleatfold_wire::{NodeId, TeamId, ZoneId};
+use cleatfold_wire::{ClassId, NodeId, TeamId, ZoneId};
 
 #[derive(Clone, Debug)]
 pub struct Team {
@@ -19,6 +19,23 @@
     }
 }
 
+/// What the operators expect of a class of jobs, as far as it bears on decisions.
+#[derive(Clone, Debug)]
+pub struct Aim {
+    pub class: ClassId,
+    pub kind: AimKind,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum AimKind {
+    /// Done within so many seconds.
+    Finished(f64),
+    /// Done within so many times its own deadline.
+    Deadline(f64),
+    /// Started within so many seconds.
+    Wait(f64),
+}
+
 #[derive(Clone, Debug)]
 pub struct Config {
     pub me: NodeId,
@@ -36,8 +53,9 @@
     /// Time between readings of the state service when nothing presses.
     pub sync_ms: u64,
     pub node_ttl_ms: u64,
-    /// Renting aims at having the queue's work done within this time.
-    pub drain_target_s: f64,
+    pub aims: Vec<Aim>,
+    /// Without an aim for its class, a job should start within this time.
+    pub usual_wait_s: f64,
     /// A machine with nothing to do for this long is returned.
     pub idle_return_s: f64,
 }
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -3,6 +3,7 @@
 //! Being leader is a hint: two leaders at once do no harm, since every change they make is
 //! guarded by the version of the key they change.
 
+use crate::config::AimKind;
 use crate::effects::*;
 use crate::fleet::Machine;
 use crate::jobs::End;
@@ -262,7 +263,6 @@
         if self.rent_inflight > 1 || self.list_at.is_none() {
             return;
         }
-        let target = self.cfg.drain_target_s;
         let mut supply: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
         for (id, m) in &self.fleet.machines {
             if m.draining || m.deleting || m.notice.is_some() {
@@ -272,7 +272,7 @@
             for ((job, _), _) in self.mirror.claims.get(id).into_iter().flatten() {
                 if let Some(live) = self.mirror.jobs.get(job) {
                     let spec = &live.record.spec;
-                    free -= spec.cpus * (0.5 * spec.estimate_s / target).min(1.0);
+                    free -= spec.cpus * (0.5 * spec.estimate_s / self.cfg.usual_wait_s).min(1.0);
                 }
             }
             *supply.entry((m.pool.clone(), m.spot)).or_default() += free.max(0.0);
@@ -281,6 +281,7 @@
         for (id, unclaimed) in self.queue() {
             let Some(live) = self.mirror.jobs.get(&id) else { continue };
             let spec = &live.record.spec;
+            let target = (self.slack_s(live) * 0.5).clamp(5.0, 120.0);
             let run = if spec.kind == Kind::Array { spec.estimate_s.max(1.0) } else { target };
             let all = f64::from(unclaimed) * spec.cpus;
             let mut lack = all.min(all * run / target).max(spec.cpus);
@@ -325,6 +326,19 @@
         self.cloud(CloudRequest::Rent(request), pending);
     }
 
+    /// How long the tasks of a job may still wait if it is to meet what is expected of it.
+    fn slack_s(&self, live: &crate::mirror::Live) -> f64 {
+        let spec = &live.record.spec;
+        let elapsed = self.wall_ms.saturating_sub(live.record.accepted_ms) as f64 / 1000.0;
+        let aims = self.cfg.aims.iter().filter(|a| a.class == spec.class);
+        let waits = aims.filter_map(|a| match a.kind {
+            AimKind::Finished(within) => Some(within - spec.estimate_s),
+            AimKind::Deadline(times) => spec.deadline_s.map(|d| d * times - spec.estimate_s),
+            AimKind::Wait(within) => Some(within),
+        });
+        waits.min_by(f64::total_cmp).unwrap_or(self.cfg.usual_wait_s) - elapsed
+    }
+
     /// Where to rent for a job: cheap per processor, soon up, and not all in one place.
     fn best_offer(
         &self,
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -15,7 +15,7 @@
 mod schedule;
 mod workers;
 
-pub use config::{Config, Team};
+pub use config::{Aim, AimKind, Config, Team};
 pub use effects::{
     CloudReply, CloudRequest, Effect, Event, Lane, Request, Response, StoreReply, StoreRequest,
 };
--- a/crates/cleatfold-control/tests/world.rs
+++ b/crates/cleatfold-control/tests/world.rs
@@ -151,7 +151,8 @@
         k: 2,
         sync_ms: 250,
         node_ttl_ms: 3000,
-        drain_target_s: 10.0,
+        aims: vec![],
+        usual_wait_s: 10.0,
         idle_return_s: 20.0,
     }
 }
--- a/crates/cleatfold/src/settings.rs
+++ b/crates/cleatfold/src/settings.rs
@@ -1,8 +1,8 @@
 //! The platform's settings file.
 
 use cleatfold_clients::store::Budget;
-use cleatfold_control::{Config, Team};
-use cleatfold_wire::{NodeId, TeamId, ZoneId};
+use cleatfold_control::{Aim, AimKind, Config, Team};
+use cleatfold_wire::{ClassId, NodeId, TeamId, ZoneId};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -54,6 +54,8 @@
     pub zones: Vec<ZoneId>,
     #[serde(default)]
     pub teams: Vec<TeamSettings>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
     pub workers: Workers,
     pub state: State,
     pub cloud: Cloud,
@@ -72,6 +74,27 @@
     pub gpus_max: f64,
 }
 
+/// Kinds and fields that we do not know are left alone.
+#[derive(Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    pub class: Option<ClassId>,
+    pub within_s: Option<f64>,
+    pub times: Option<f64>,
+}
+
+impl Objective {
+    fn aim(&self) -> Option<Aim> {
+        let kind = match (self.kind.as_str(), self.within_s) {
+            ("finished", Some(s)) => AimKind::Finished(s),
+            ("wait", Some(s)) => AimKind::Wait(s),
+            ("deadline", _) => AimKind::Deadline(self.times.unwrap_or(1.0)),
+            _ => return None,
+        };
+        Some(Aim { class: self.class.clone()?, kind })
+    }
+}
+
 #[derive(Debug, Deserialize)]
 pub struct Workers {
     pub report_s: f64,
@@ -196,8 +219,9 @@
             k: 2,
             sync_ms: 250,
             node_ttl_ms: 3000,
-            drain_target_s: 30.0,
-            idle_return_s: 60.0,
+            aims: c.objectives.iter().filter_map(Objective::aim).collect(),
+            usual_wait_s: 30.0,
+            idle_return_s: 20.0,
         }
     }
 
