--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -479,6 +479,8 @@
         for other in std::mem::take(&mut self.mirror.gone) {
             self.drop_local(&other);
         }
+        let claimed: Vec<MachineId> = tx.claims.iter().map(|c| c.0.machine.clone()).collect();
+        self.answer_held(&claimed);
         self.dirty = true;
         self.tell(None, Message::Changed);
     }
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -139,6 +139,7 @@
     pub(crate) list_at: Option<Ms>,
     pub(crate) list_acc: Vec<cleatfold_wire::cloud::ListedMachine>,
     pub(crate) owned_since: BTreeMap<PoolId, (Token, Ms)>,
+    pub(crate) held: BTreeMap<MachineId, crate::workers::Held>,
     pub(crate) strays: BTreeMap<MachineId, VecDeque<Ms>>,
     pub(crate) last_tick: Ms,
 
@@ -204,6 +205,7 @@
             list_at: None,
             list_acc: Vec::new(),
             owned_since: BTreeMap::new(),
+            held: BTreeMap::new(),
             strays: BTreeMap::new(),
             last_tick: Ms(0),
             peers,
@@ -280,6 +282,7 @@
             }
         }
         self.fail_stale_waits();
+        self.answer_held(&[]);
         self.keep_lease();
         self.keep_mirror();
         self.keep_cloud();
--- a/crates/cleatfold-control/src/requests.rs
+++ b/crates/cleatfold-control/src/requests.rs
@@ -284,7 +284,7 @@
                     };
                     self.mirror.set(&key, value.get(), version);
                     self.local(&job);
-                    tracing::info!(job = %job, tasks = submission.spec.tasks, "accepted");
+                    tracing::info!(job = %job, class = %submission.spec.class, tasks = submission.spec.tasks, estimate_s = submission.spec.estimate_s, "accepted");
                     let status = status(&job, JobState::Queued, 0, 0);
                     self.reply(submission.rid, Response::Status { code: 201, status });
                 }
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -14,6 +14,15 @@
 use cleatfold_wire::*;
 use std::collections::BTreeSet;
 
+/// A report whose answer waits a moment for a command.
+#[derive(Debug)]
+pub(crate) struct Held {
+    rid: u64,
+    pool: PoolId,
+    token: Token,
+    until: Ms,
+}
+
 /// How a worker that cannot reach its owner shows: it comes to us again and again.
 const STRAY_WINDOW_MS: u64 = 15_000;
 
@@ -42,8 +51,86 @@
             // Late or repeated. Its worker does not wait for this answer any more.
             return self.reply(rid, Response::later("an old report"));
         }
+        let id = report.machine.clone();
         let commands = self.take_report(&pool, token, report);
-        self.reply(rid, Response::Worker(ReportReply { token, commands }));
+        let hold = if commands.is_empty() { self.hold_ms(&id) } else { 0 };
+        if hold > 0 {
+            let until = self.now.plus(hold);
+            self.held.insert(id, Held { rid, pool, token, until });
+        } else {
+            self.reply(rid, Response::Worker(ReportReply { token, commands }));
+        }
+    }
+
+    /// How long the answer to a report that calls for no command may wait for one: where there
+    /// is room, a claim made meanwhile is ordered at once instead of at the next report. It
+    /// stays an answer to the newest report, so nothing in it can be executed late; and it is
+    /// well within the time that a worker waits. Busy machines get little of it, for while an
+    /// answer is out their exits go unreported.
+    fn hold_ms(&self, id: &MachineId) -> u64 {
+        let Some(machine) = self.fleet.machines.get(id) else { return 0 };
+        if machine.draining || machine.notice.is_some() {
+            return 0;
+        }
+        let total = self.fleet.total(&machine.pool.machine_type).cpus;
+        let used: i64 = self
+            .mirror
+            .claims
+            .get(id)
+            .into_iter()
+            .flat_map(|c| c.keys())
+            .filter_map(|(job, _)| self.mirror.jobs.get(job))
+            .map(|live| live.each.cpus)
+            .sum();
+        let share = match used * 4 {
+            0 => 80,
+            u if u < total * 3 => 40,
+            _ => 0,
+        };
+        (self.cfg.report_ms * share / 100).min(2000)
+    }
+
+    /// Answers held reports whose time is up, or whose machine got a claim.
+    pub(crate) fn answer_held(&mut self, claimed: &[MachineId]) {
+        let due: Vec<MachineId> = self
+            .held
+            .iter()
+            .filter(|(id, h)| h.until <= self.now || claimed.contains(id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            let Some(held) = self.held.remove(&id) else { continue };
+            let deaf = self.fresh.map_or(u64::MAX, |f| self.now.since(f));
+            let response = if self.my_token(&held.pool) != Some(held.token) {
+                Response::Redirect(None)
+            } else if deaf > self.cfg.deaf_limit_ms() {
+                Response::later("cut off from the state service")
+            } else {
+                let commands = self.starts(&id, held.token);
+                Response::Worker(ReportReply { token: held.token, commands })
+            };
+            self.reply(held.rid, response);
+        }
+    }
+
+    /// Starts for claims that the machine's newest report does not list.
+    fn starts(&self, id: &MachineId, token: Token) -> Vec<Command> {
+        let Some(machine) = self.fleet.machines.get(id) else { return vec![] };
+        let Some(report) = &machine.report else { return vec![] };
+        if machine.draining || machine.deleting || machine.notice.is_some() {
+            return vec![];
+        }
+        let listed: BTreeSet<&TaskId> = report.tasks.iter().map(|t| &t.task).collect();
+        let mut starts = Vec::new();
+        for ((job, ix), claim) in self.mirror.claims.get(id).into_iter().flatten() {
+            let task = TaskId { job: job.clone(), ix: *ix };
+            let aborted = self.mirror.jobs.get(job).is_none_or(|j| j.record.aborted);
+            let ending = self.locals.get(job).is_some_and(|l| l.ends.iter().any(|e| e.ix == *ix));
+            if claim.token == token && !aborted && !ending && !listed.contains(&task) {
+                starts.push(Command::Start { task, attempt: claim.attempt });
+            }
+        }
+        starts
     }
 
     fn redirect(&mut self, rid: u64, machine: &MachineId, pool: &PoolId) {
@@ -73,6 +160,10 @@
         let now = self.now;
         let id = report.machine.clone();
         self.strays.remove(&id);
+        if let Some(old) = self.held.remove(&id) {
+            // Its worker gave up on that answer.
+            self.reply(old.rid, Response::later("a newer report came"));
+        }
         let spot = report.spot;
         let machine = self
             .fleet
