--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -154,9 +154,6 @@
     pub(crate) rent_count: u64,
     pub(crate) assigned_at: Ms,
     pub(crate) slices_inflight: BTreeSet<TeamId>,
-    /// The usual demand of classes that must start at once, in thousandths of processors.
-    pub(crate) urgent_usual: f64,
-    pub(crate) urgent_at: Ms,
     pub(crate) slices_at: Ms,
     /// What the last planning could have started but for the pool's part of a team's limit.
     pub(crate) short: BTreeMap<(TeamId, String), Resources>,
@@ -221,8 +218,6 @@
             rent_count: 0,
             assigned_at: Ms(0),
             slices_inflight: BTreeSet::new(),
-            urgent_usual: 0.0,
-            urgent_at: Ms(0),
             slices_at: Ms(0),
             short: BTreeMap::new(),
             cleanup_inflight: false,
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -1,13 +1,12 @@
 //! From the mirror and the fleet to reservations, promises and claims.
 
-use crate::config::AimKind;
 use crate::effects::Effect;
 use crate::jobs::Wish;
 use crate::node::{Node, Pending};
 use cleatfold_plan::chart::FOREVER;
 use cleatfold_plan::order::{Guarantees, Place};
 use cleatfold_plan::{plan, MachineChart, Request, Reservation, Resources};
-use cleatfold_wire::job::{Kind, Urgency};
+use cleatfold_wire::job::Kind;
 use cleatfold_wire::mesh::{Message, Promise};
 use cleatfold_wire::worker::TaskState;
 use cleatfold_wire::*;
@@ -307,7 +306,6 @@
         due.sort_by_key(|(p, r)| (r.finish, *p, r.request, r.machine));
         let mut usage = self.limited_usage();
         self.short.clear();
-        let mut room = self.room_beside_headroom(plans);
         for (p, r) in due {
             let plan = &plans[p];
             let job = &plan.jobs[r.request];
@@ -345,14 +343,6 @@
             if tasks == 0 {
                 continue;
             }
-            if !self.is_urgent(live) {
-                let cpus = live.each.cpus.max(1);
-                tasks = tasks.min((room[p].max(0) / cpus) as u32);
-                if tasks == 0 || (live.record.spec.kind == Kind::Gang && tasks < r.tasks) {
-                    continue;
-                }
-            }
-            room[p] -= live.each.times(tasks).cpus;
             left.insert(job, remaining - tasks);
             let wish = Wish {
                 machine: plan.machines[r.machine].clone(),
@@ -365,60 +355,6 @@
         }
     }
 
-    /// Whether the operators want the job's class started within a time.
-    fn is_urgent(&self, live: &crate::mirror::Live) -> bool {
-        let spec = &live.record.spec;
-        spec.urgency <= Urgency::High
-            && self
-                .cfg
-                .aims
-                .iter()
-                .any(|a| a.class == spec.class && matches!(a.kind, AimKind::Wait(_)))
-    }
-
-    /// What each pool has free, in thousandths of processors, beyond the headroom that other
-    /// work leaves for classes that must start at once: their usual demand, less what of it
-    /// runs already, spread over the pools by size.
-    fn room_beside_headroom(&mut self, plans: &[PoolPlan]) -> Vec<i64> {
-        let mut demand = 0;
-        let mut running = 0;
-        for live in self.mirror.jobs.values().filter(|j| !j.record.aborted) {
-            if self.is_urgent(live) {
-                running += live.each.times(live.claimed).cpus;
-                demand += live.each.times(live.claimed + live.unclaimed()).cpus;
-            }
-        }
-        // A moving average over about two minutes.
-        let passed = self.now.since(self.urgent_at) as f64 / 120_000.0;
-        self.urgent_at = self.now;
-        self.urgent_usual += (demand as f64 - self.urgent_usual) * passed.min(1.0);
-        let headroom = (1.5 * self.urgent_usual - running as f64).max(0.0);
-        let cpus = |m: &crate::fleet::Machine| self.fleet.total(&m.pool.machine_type).cpus;
-        let all: i64 = self.fleet.machines.values().map(cpus).sum();
-        plans
-            .iter()
-            .map(|plan| {
-                let mut free = 0;
-                let mut total = 0;
-                for (id, open) in plan.machines.iter().zip(&plan.open) {
-                    let Some(m) = self.fleet.machines.get(id).filter(|_| *open) else { continue };
-                    total += cpus(m);
-                    let used: i64 = self
-                        .mirror
-                        .claims
-                        .get(id)
-                        .into_iter()
-                        .flat_map(|c| c.keys())
-                        .filter_map(|(job, _)| self.mirror.jobs.get(job))
-                        .map(|live| live.each.cpus)
-                        .sum();
-                    free += cpus(m) - used;
-                }
-                free - (headroom * total as f64 / all.max(1) as f64) as i64
-            })
-            .collect()
-    }
-
     /// How many of the job's tasks other pools promise to finish clearly before `finish`.
     fn promised_elsewhere(&self, plans: &[PoolPlan], here: usize, job: &JobId, finish: Ms) -> u32 {
         // Estimates are rough: an earlier finish must be clearly earlier.
