Owners tell which images their machines hold

Cause: after a take-over the new owner placed urgent work on cold machines and it waited for images.

--- a/crates/cleatfold-control/src/fleet.rs
+++ b/crates/cleatfold-control/src/fleet.rs
@@ -31,6 +31,7 @@
     pub notice: Option<Ms>,
     /// Images it holds, the most recently used last.
     pub images: VecDeque<(ImageId, f64)>,
+    pub images_changed: bool,
     /// When tasks were first seen running.
     pub started: BTreeMap<(JobId, TaskIx), Ms>,
     /// Jobs that failed here.
@@ -58,6 +59,7 @@
             answered: None,
             notice: None,
             images: VecDeque::new(),
+            images_changed: false,
             started: BTreeMap::new(),
             failed_jobs: BTreeSet::new(),
             failed_at: Ms(0),
@@ -78,6 +80,7 @@
         if self.images.back().is_some_and(|i| i.0 == *image) {
             return;
         }
+        self.images_changed = true;
         self.images.retain(|i| i.0 != *image);
         self.images.push_back((image.clone(), gb));
         let mut total: f64 = self.images.iter().map(|i| i.1).sum();
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -292,6 +292,7 @@
                 let contact_age_ms = self.now.since(fresh);
                 self.tell(None, Message::Alive { contact_age_ms });
             }
+            self.tell_images();
         }
         if !self.serving() {
             return;
@@ -302,6 +303,21 @@
         self.keep_slices();
     }
 
+    /// Tells the others what images our machines hold, a machine when that has changed.
+    fn tell_images(&mut self) {
+        let mut machines = Vec::new();
+        for (id, m) in &mut self.fleet.machines {
+            if self.owned_since.contains_key(&m.pool) && m.images_changed {
+                m.images_changed = false;
+                let images = m.images.iter().map(|(i, gb)| (i.to_string(), *gb)).collect();
+                machines.push((id.to_string(), images));
+            }
+        }
+        if !machines.is_empty() {
+            self.tell(None, Message::Images { machines });
+        }
+    }
+
     /// Recovered, and entitled to act.
     pub(crate) fn serving(&self) -> bool {
         self.loaded && self.incarnation.is_some() && self.types_at.is_some()
@@ -479,6 +495,9 @@
                 continue;
             }
             tracing::info!(%pool, token = token.0, "pool is ours");
+            for m in self.fleet.machines.values_mut().filter(|m| m.pool == pool) {
+                m.images_changed = true;
+            }
             self.owned_since.insert(pool, (token, self.now));
             self.dirty = true;
         }
@@ -584,6 +603,18 @@
                 self.want_sync = true;
                 self.sync_if_due();
             }
+            Message::Images { machines } => {
+                for (id, images) in machines {
+                    let id = MachineId::new(id);
+                    let Some(m) = self.fleet.machines.get_mut(&id) else { continue };
+                    if !self.owned_since.contains_key(&m.pool) {
+                        m.images = images
+                            .into_iter()
+                            .map(|(image, gb)| (ImageId::new(image), gb))
+                            .collect();
+                    }
+                }
+            }
             Message::Assign { pools, jobs } => self.on_assign(&from, pools, jobs),
             Message::Promises { pool, token, promises } => {
                 let Some(pool) = PoolId::parse(&pool) else {
--- a/crates/cleatfold-wire/src/mesh.rs
+++ b/crates/cleatfold-wire/src/mesh.rs
@@ -16,6 +16,9 @@
     Assign { pools: Vec<String>, jobs: Vec<(String, Vec<u16>)> },
     /// The promises of one owner's chart. Also tells who holds the pool under which token.
     Promises { pool: String, token: u64, promises: Vec<Promise> },
+    /// Which images an owner's machines hold, least recently used first. Whoever takes the
+    /// pool over then still knows where a task need not wait for its image.
+    Images { machines: Vec<(String, Vec<(String, f64)>)> },
     /// How long ago the sender last read the state service.
     Alive { contact_age_ms: u64 },
     /// Something was written that the others will want to read now.
