--- a/crates/cleatfold/src/settings.rs
+++ b/crates/cleatfold/src/settings.rs
@@ -61,6 +61,12 @@
     pub cloud: Cloud,
 }
 
+impl TeamSettings {
+    fn accounted(&self) -> bool {
+        self.cpus + self.cpus_max + self.gpus + self.gpus_max > 0.0
+    }
+}
+
 #[derive(Debug, Deserialize)]
 pub struct TeamSettings {
     pub name: TeamId,
@@ -221,7 +227,9 @@
             node_ttl_ms: 3000,
             aims: c.objectives.iter().filter_map(Objective::aim).collect(),
             usual_wait_s: 30.0,
-            idle_return_s: 20.0,
+            // Where no team has a guarantee or a limit, nobody accounts for capacity and speed
+            // counts: machines are kept. Elsewhere money counts too.
+            idle_return_s: if c.teams.iter().any(TeamSettings::accounted) { 20.0 } else { 900.0 },
         }
     }
 
