--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -263,50 +263,44 @@
         if self.rent_inflight > 1 || self.list_at.is_none() {
             return;
         }
-        // Per kind of machine: processors, and processor-seconds they are committed to.
-        let mut supply: BTreeMap<(PoolId, bool), (f64, f64)> = BTreeMap::new();
+        let mut supply: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
         for (id, m) in &self.fleet.machines {
             if m.draining || m.deleting || m.notice.is_some() {
                 continue;
             }
-            let entry = supply.entry((m.pool.clone(), m.spot)).or_default();
-            entry.0 += self.fleet.total(&m.pool.machine_type).cpus as f64 / 1000.0;
-            for (job, _) in self.mirror.claims.get(id).into_iter().flat_map(|c| c.keys()) {
+            let mut free = self.fleet.total(&m.pool.machine_type).cpus as f64 / 1000.0;
+            for ((job, _), _) in self.mirror.claims.get(id).into_iter().flatten() {
                 if let Some(live) = self.mirror.jobs.get(job) {
-                    entry.1 += 0.5 * live.record.spec.estimate_s * live.record.spec.cpus;
+                    let spec = &live.record.spec;
+                    free -= spec.cpus * (0.5 * spec.estimate_s / self.cfg.usual_wait_s).min(1.0);
                 }
             }
+            *supply.entry((m.pool.clone(), m.spot)).or_default() += free.max(0.0);
         }
         let mut lacking: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
         for (id, unclaimed) in self.queue() {
             let Some(live) = self.mirror.jobs.get(&id) else { continue };
             let spec = &live.record.spec;
-            let wait = (self.slack_s(live) * 0.8).clamp(5.0, 120.0);
-            let run = if spec.kind == Kind::Array { spec.estimate_s.max(1.0) } else { 600.0 };
-            // What the job needs until its tasks should be over, and what is free until then.
-            let horizon = wait + run;
+            let target = (self.slack_s(live) * 0.8).clamp(5.0, 120.0);
+            let run = if spec.kind == Kind::Array { spec.estimate_s.max(1.0) } else { target };
             let all = f64::from(unclaimed) * spec.cpus;
-            let mut lack = all * run;
+            let mut lack = all.min(all * run / target).max(spec.cpus);
             // Of a spread job, each zone can take only half.
             let mut zones: BTreeMap<ZoneId, f64> = BTreeMap::new();
-            let per_zone = if spec.spread { (all / 2.0 + spec.cpus) * run } else { f64::INFINITY };
-            for ((pool, spot), (cpus, committed)) in &mut supply {
+            let per_zone = if spec.spread { all / 2.0 + spec.cpus } else { f64::INFINITY };
+            for ((pool, spot), free) in &mut supply {
                 if (*spot && !spec.spot) || !self.may_use(live, pool) {
                     continue;
                 }
                 let zone = zones.entry(pool.zone.clone()).or_default();
-                let free = *cpus * horizon - *committed;
-                let take = lack.min(free).min(per_zone - *zone).max(0.0);
-                *committed += take;
+                let take = lack.min(*free).min(per_zone - *zone).max(0.0);
+                *free -= take;
                 *zone += take;
                 lack -= take;
             }
             if lack > 1e-9 {
                 if let Some(offer) = self.best_offer(live, &lacking, &zones, per_zone) {
-                    let boot =
-                        self.fleet.types.get(&offer.0.machine_type).map_or(0.0, |t| t.boot_s);
-                    let cpus = (lack / (horizon - boot).max(run * 0.5)).max(spec.cpus).min(all);
-                    *lacking.entry(offer).or_default() += cpus;
+                    *lacking.entry(offer).or_default() += lack;
                 }
             }
         }
