--- a/crates/cleatfold/src/actor.rs
+++ b/crates/cleatfold/src/actor.rs
@@ -3,6 +3,7 @@
 //! `core` owns the node's state. The state service's and the cloud's clients, the mesh and
 //! the HTTP server each run beside it and speak to it by messages.
 
+use crate::operator::Operator;
 use crate::settings::Settings;
 use bytes::Bytes;
 use cleatfold_clients::{cloud, mesh, store};
@@ -63,7 +64,7 @@
     }
 }
 
-pub async fn serve(settings: Settings) -> std::io::Result<()> {
+pub async fn serve(settings: Settings, operator: Operator) -> std::io::Result<()> {
     let (core, mut inbox) = mpsc::unbounded_channel::<ToCore>();
     let (store_queue, store_jobs) = mpsc::unbounded_channel();
     let (cloud_queue, cloud_jobs) = mpsc::unbounded_channel();
@@ -109,7 +110,9 @@
         mesh: mesh_queues,
         answers: HashMap::new(),
     };
-    let mut node = Node::new(settings.control());
+    let mut config = settings.control();
+    operator.apply(&mut config);
+    let mut node = Node::new(config);
     // Steady time starts at 1 s so that 0 can stand for "never".
     let start = Instant::now();
     let steady = || Ms(1000 + start.elapsed().as_millis() as u64);
--- a/crates/cleatfold/src/main.rs
+++ b/crates/cleatfold/src/main.rs
@@ -1,6 +1,7 @@
 //! The controller's program.
 
 mod actor;
+mod operator;
 mod serve;
 mod settings;
 
@@ -14,6 +15,9 @@
     /// Serve with this settings file.
     #[arg(long, value_name = "FILE")]
     config: Option<PathBuf>,
+    /// The operators' own settings (HCL).
+    #[arg(long, value_name = "FILE.hcl")]
+    operator: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -24,14 +28,16 @@
     Check {
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
+        #[arg(long, value_name = "FILE.hcl")]
+        operator: Option<PathBuf>,
     },
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let (path, serve) = match (&cli.config, &cli.command) {
-        (_, Some(Command::Check { config })) => (config, false),
-        (Some(config), None) => (config, true),
+    let (path, operator, serve) = match (&cli.config, &cli.command) {
+        (_, Some(Command::Check { config, operator })) => (config, operator, false),
+        (Some(config), None) => (config, &cli.operator, true),
         (None, None) => {
             eprintln!("cleatfold: nothing to do; see --help");
             return ExitCode::from(2);
@@ -45,6 +51,10 @@
         Ok(settings) => settings,
         Err(error) => return fail(&error),
     };
+    let operator = match operator.as_deref().map(operator::Operator::read).transpose() {
+        Ok(operator) => operator.unwrap_or_default(),
+        Err(error) => return fail(&error),
+    };
     if !serve {
         println!("{}: ok", path.display());
         return ExitCode::SUCCESS;
@@ -61,7 +71,7 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&error),
     };
-    match tokio::task::LocalSet::new().block_on(&runtime, actor::serve(settings)) {
+    match tokio::task::LocalSet::new().block_on(&runtime, actor::serve(settings, operator)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error),
     }
--- /dev/null
+++ b/crates/cleatfold/src/operator.rs
@@ -0,0 +1,94 @@
+//! The operators' own settings: an optional HCL file, checked, with a default for everything.
+
+use crate::settings::SettingsError;
+use cleatfold_control::Config;
+use serde::Deserialize;
+use std::path::Path;
+
+#[derive(Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// Pools that a job is sent to; 1 to 16.
+    pub pools_per_job: Option<u32>,
+    /// Milliseconds between readings of the state service; 100 to 2000.
+    pub reading_ms: Option<u64>,
+    /// Milliseconds after which a silent node's pools are dealt on; 1000 to 60000.
+    pub node_lease_ms: Option<u64>,
+    /// Seconds after which an idle machine that no waiting job may use is returned; 0 to 86400.
+    pub idle_return_s: Option<f64>,
+    /// Seconds a job of a class without an objective may wait; 1 to 86400.
+    pub usual_wait_s: Option<f64>,
+}
+
+impl Operator {
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| SettingsError::Read { path: shown.clone(), error })?;
+        Self::parse(&text).map_err(|error| SettingsError::Parse { path: shown, error })
+    }
+
+    fn parse(text: &str) -> Result<Self, String> {
+        let one_line =
+            |e: hcl::Error| e.to_string().split_whitespace().collect::<Vec<_>>().join(" ");
+        let operator: Operator = hcl::from_str(text).map_err(one_line)?;
+        operator.check()?;
+        Ok(operator)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let ranges = [
+            ("pools_per_job", self.pools_per_job.map(f64::from), 1.0, 16.0),
+            ("reading_ms", self.reading_ms.map(|v| v as f64), 100.0, 2000.0),
+            ("node_lease_ms", self.node_lease_ms.map(|v| v as f64), 1000.0, 60_000.0),
+            ("idle_return_s", self.idle_return_s, 0.0, 86_400.0),
+            ("usual_wait_s", self.usual_wait_s, 1.0, 86_400.0),
+        ];
+        for (field, value, least, most) in ranges {
+            if value.is_some_and(|v| !(least..=most).contains(&v)) {
+                return Err(format!("{field}: must be between {least} and {most}"));
+            }
+        }
+        Ok(())
+    }
+
+    pub fn apply(&self, config: &mut Config) {
+        if let Some(k) = self.pools_per_job {
+            config.k = k as usize;
+        }
+        if let Some(ms) = self.reading_ms {
+            config.sync_ms = ms;
+        }
+        if let Some(ms) = self.node_lease_ms {
+            config.node_ttl_ms = ms;
+        }
+        if let Some(s) = self.idle_return_s {
+            config.idle_return_s = s;
+        }
+        if let Some(s) = self.usual_wait_s {
+            config.usual_wait_s = s;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_left_out_keeps_its_default_and_errors_name_the_field() {
+        assert_eq!(Operator::parse("").unwrap(), Operator::default());
+        let some = Operator::parse("pools_per_job = 3\nidle_return_s = 12.5\n").unwrap();
+        assert_eq!((some.pools_per_job, some.idle_return_s), (Some(3), Some(12.5)));
+        for (text, field) in [
+            ("pools_per_job = 0", "pools_per_job"),
+            ("reading_ms = 5", "reading_ms"),
+            ("usual_wait_s = \"long\"", "usual_wait_s"),
+            ("idle_retrun_s = 3", "idle_retrun_s"),
+        ] {
+            let error = Operator::parse(text).unwrap_err();
+            assert!(!error.contains('\n'), "{error}");
+            assert!(error.contains(field) || error.contains("expected"), "{text}: {error}");
+        }
+    }
+}
