--- a/crates/cleatfold-control/tests/world.rs
+++ b/crates/cleatfold-control/tests/world.rs
@@ -10,6 +10,7 @@
 use cleatfold_wire::cloud::MachineType;
 use cleatfold_wire::job::{JobSpec, JobState, Kind, Urgency};
 use cleatfold_wire::mesh::Message;
+use cleatfold_wire::store::Txn;
 use cleatfold_wire::worker::{Exit, Report};
 use cleatfold_wire::*;
 use rand::rngs::SmallRng;
@@ -122,6 +123,7 @@
     broken: Vec<String>,
     trouble: bool,
     started: u32,
+    absences: u32,
 }
 
 fn node_id(i: usize) -> NodeId {
@@ -197,6 +199,7 @@
             broken: Vec::new(),
             trouble,
             started: 0,
+            absences: 0,
         };
         for i in 0..NODES {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -478,8 +481,13 @@
             }
             StoreRequest::Txn(txn) => {
                 assert!(txn.changes.len() <= 16 && txn.guards.len() <= 64, "within the limits");
+                let (unfenced, absences) = self.releases(&txn);
                 match self.store.txn(&txn) {
-                    Ok(version) => StoreReply::Committed(version),
+                    Ok(version) => {
+                        self.broken.extend(unfenced);
+                        self.absences += absences;
+                        StoreReply::Committed(version)
+                    }
                     Err(Refusal::Conflict(failed)) => StoreReply::Conflict(failed),
                     Err(Refusal::NoSuchLease) => StoreReply::Bad("no such lease".into()),
                 }
@@ -498,6 +506,41 @@
         }
     }
 
+    /// A claim given up because its worker does not list the task must carry the pool's
+    /// version: absence proves something only as long as the pool is ours.
+    fn releases(&self, txn: &Txn) -> (Vec<String>, u32) {
+        let (mut unfenced, mut absences) = (Vec::new(), 0);
+        for change in &txn.changes {
+            let (Some(key), Some(new)) = (&change.put, &change.value) else { continue };
+            let (true, Some(old)) = (key.starts_with("cf/j/"), self.store.get(key)) else {
+                continue;
+            };
+            let read = |v: &str| serde_json::from_str::<records::JobRecord>(v).expect("a job");
+            let (old, new) = (read(old.value.get()), read(new.get()));
+            for group in &old.table.claims {
+                for &(ix, attempt) in &group.tasks {
+                    let stands = |g: &records::ClaimGroup| {
+                        g.machine == group.machine && g.tasks.contains(&(ix, attempt))
+                    };
+                    let Some(worker) = self.workers.get(&group.machine) else { continue };
+                    let task = TaskId { job: new.spec.id.clone(), ix };
+                    // In a later session an exit that was reported may be forgotten already.
+                    let forgotten = worker.session > 1;
+                    let listed = worker.tasks.contains_key(&(task.clone(), attempt));
+                    if new.table.claims.iter().any(stands) || forgotten || listed {
+                        continue;
+                    }
+                    absences += 1;
+                    let pool = format!("cf/pool/{}", group.pool);
+                    if !txn.guards.iter().any(|g| g.key == pool) {
+                        unfenced.push(format!("{:?} {task} released unfenced", self.now));
+                    }
+                }
+            }
+        }
+        (unfenced, absences)
+    }
+
     fn execute_cloud(&mut self, request: CloudRequest) -> CloudReply {
         match request {
             CloudRequest::Types => CloudReply::Types(self.cloud.types.clone()),
@@ -780,12 +823,14 @@
 
 #[test]
 fn troubled_days_keep_the_rules() {
-    let mut started = 0;
+    let (mut started, mut absences) = (0, 0);
     // 167: a pool kept a team's whole limit for work that its machines could not take.
     for seed in (100..112).chain([167]) {
         let world = play(seed, true);
         started += world.started;
+        absences += world.absences;
         assert_eq!(world.unfinished(), Vec::<JobId>::new(), "seed {seed}");
     }
+    assert!(absences > 0, "no claim was given up for absence: the check saw nothing");
     assert!(started > 1500, "only {started} starts over all days");
 }
