--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -154,8 +154,6 @@
     pub(crate) rent_count: u64,
     pub(crate) assigned_at: Ms,
     pub(crate) slices_inflight: BTreeSet<TeamId>,
-    /// Running tasks that make room for more urgent ones.
-    pub(crate) preempted: BTreeSet<(MachineId, JobId, TaskIx)>,
     pub(crate) slices_at: Ms,
     /// What the last planning could have started but for the pool's part of a team's limit.
     pub(crate) short: BTreeMap<(TeamId, String), Resources>,
@@ -220,7 +218,6 @@
             rent_count: 0,
             assigned_at: Ms(0),
             slices_inflight: BTreeSet::new(),
-            preempted: BTreeSet::new(),
             slices_at: Ms(0),
             short: BTreeMap::new(),
             cleanup_inflight: false,
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -1,13 +1,12 @@
 //! From the mirror and the fleet to reservations, promises and claims.
 
-use crate::config::AimKind;
 use crate::effects::Effect;
 use crate::jobs::Wish;
 use crate::node::{Node, Pending};
 use cleatfold_plan::chart::FOREVER;
 use cleatfold_plan::order::{Guarantees, Place};
 use cleatfold_plan::{plan, MachineChart, Request, Reservation, Resources};
-use cleatfold_wire::job::{Kind, Urgency};
+use cleatfold_wire::job::Kind;
 use cleatfold_wire::mesh::{Message, Promise};
 use cleatfold_wire::worker::TaskState;
 use cleatfold_wire::*;
@@ -97,7 +96,6 @@
         let queue = self.queue();
         let plans = self.chart_pools(&queue);
         self.start_what_is_due(&queue, &plans);
-        self.make_room(&plans);
         self.tell_promises(&plans);
     }
 
@@ -357,97 +355,6 @@
         }
     }
 
-    /// Whether the operators want the job's class started within a time.
-    fn is_urgent(&self, live: &crate::mirror::Live) -> bool {
-        let spec = &live.record.spec;
-        spec.urgency <= Urgency::High
-            && self
-                .cfg
-                .aims
-                .iter()
-                .any(|a| a.class == spec.class && matches!(a.kind, AimKind::Wait(_)))
-    }
-
-    /// Preemption: tasks of a class that must start at once, and whose reservation is not for
-    /// now, take the room of running tasks of lower urgency that save checkpoints; those that
-    /// lose least first. Only what fits beside what is free, machine by machine.
-    fn make_room(&mut self, plans: &[PoolPlan]) {
-        self.preempted.retain(|(machine, job, ix)| {
-            self.mirror.claims.get(machine).is_some_and(|c| c.contains_key(&(job.clone(), *ix)))
-        });
-        let mut wanted: BTreeMap<JobId, u32> = BTreeMap::new();
-        for plan in plans {
-            for r in &plan.reservations {
-                let job = &plan.jobs[r.request];
-                let late = r.start > self.now.plus(1000);
-                let live = self.mirror.jobs.get(job).filter(|l| late && self.is_urgent(l));
-                if let Some(live) = live {
-                    wanted.insert(job.clone(), live.unclaimed());
-                }
-            }
-        }
-        // Room that is being made already will serve someone first.
-        let mut coming: i64 = self
-            .preempted
-            .iter()
-            .filter_map(|(_, job, _)| self.mirror.jobs.get(job))
-            .map(|l| l.each.cpus)
-            .sum();
-        for (job, mut tasks) in wanted {
-            let Some(live) = self.mirror.jobs.get(&job) else { continue };
-            let (each, urgency) = (live.each, live.record.spec.urgency);
-            let served = (coming / each.cpus.max(1)) as u32;
-            coming -= each.times(served.min(tasks)).cpus;
-            tasks -= served.min(tasks);
-            let pools: Vec<&PoolPlan> =
-                plans.iter().filter(|p| self.may_use(&self.mirror.jobs[&job], &p.pool)).collect();
-            for plan in pools {
-                for (id, open) in plan.machines.iter().zip(&plan.open) {
-                    if tasks == 0 {
-                        break;
-                    }
-                    if *open {
-                        tasks -= self.preempt_on(id, each, urgency, tasks);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Marks tasks on one machine to be stopped for up to `tasks` urgent ones; returns how many
-    /// those will be.
-    fn preempt_on(&mut self, id: &MachineId, each: Resources, urgency: Urgency, tasks: u32) -> u32 {
-        let Some(machine) = self.fleet.machines.get(id) else { return 0 };
-        let mut victims: Vec<(u64, JobId, TaskIx, Resources)> = Vec::new();
-        for (job, ix) in self.mirror.claims.get(id).into_iter().flat_map(|c| c.keys()) {
-            let Some(live) = self.mirror.jobs.get(job) else { continue };
-            let spec = &live.record.spec;
-            let Some(started) = machine.started.get(&(job.clone(), *ix)) else { continue };
-            let interval = (spec.checkpoint_s * 1000.0) as u64;
-            let known = self.preempted.contains(&(id.clone(), job.clone(), *ix));
-            if spec.urgency > urgency && interval > 0 && !known {
-                let lost = self.now.since(*started) % interval;
-                victims.push((lost, job.clone(), *ix, live.each));
-            }
-        }
-        victims.sort_by(|a, b| (a.0, &a.1, a.2).cmp(&(b.0, &b.1, b.2)));
-        let mut room = Resources::default();
-        let mut chosen = Vec::new();
-        for (_, job, ix, size) in victims {
-            if room.fits(&each, tasks) >= tasks {
-                break;
-            }
-            room += size;
-            chosen.push((id.clone(), job, ix));
-        }
-        let fits = room.fits(&each, tasks);
-        if fits > 0 {
-            tracing::info!(machine = %id, tasks = chosen.len(), "making room");
-            self.preempted.extend(chosen);
-        }
-        fits
-    }
-
     /// How many of the job's tasks other pools promise to finish clearly before `finish`.
     fn promised_elsewhere(&self, plans: &[PoolPlan], here: usize, job: &JobId, finish: Ms) -> u32 {
         // Estimates are rough: an earlier finish must be clearly earlier.
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -219,16 +219,6 @@
                     if state == TaskState::Running {
                         self.note_running(&id, &t.task);
                     }
-                    let key = (id.clone(), t.task.job.clone(), t.task.ix);
-                    if state == TaskState::Running && self.preempted.contains(&key) {
-                        // At once: saving first would take longer than the urgent task may
-                        // wait, and at most one checkpoint's interval is lost.
-                        commands.push(Command::Stop {
-                            task: t.task.clone(),
-                            attempt: t.attempt,
-                            grace_s: 0.0,
-                        });
-                    }
                     if let (Some(at), TaskState::Running | TaskState::Fetching) = (notice, state) {
                         self.stop_for_notice(&mut commands, t, at);
                     }
