--- a/crates/cleatfold-control/tests/world.rs
+++ b/crates/cleatfold-control/tests/world.rs
@@ -124,6 +124,8 @@
     trouble: bool,
     started: u32,
     absences: u32,
+    mesh_off: bool,
+    cloud_off: bool,
 }
 
 fn node_id(i: usize) -> NodeId {
@@ -200,6 +202,8 @@
             trouble,
             started: 0,
             absences: 0,
+            mesh_off: false,
+            cloud_off: false,
         };
         for i in 0..NODES {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -258,6 +262,7 @@
     fn run(&mut self, until: Ms) {
         while let Some(Reverse((at, number))) = self.queue.pop() {
             if at > until {
+                self.queue.push(Reverse((at, number)));
                 break;
             }
             self.now = at;
@@ -381,6 +386,9 @@
     }
 
     fn on_mesh(&mut self, node: usize, to: Option<NodeId>, message: &Message) {
+        if self.mesh_off {
+            return;
+        }
         for peer in (0..NODES).filter(|p| *p != node) {
             if to.as_ref().is_some_and(|t| *t != node_id(peer)) {
                 continue;
@@ -543,6 +551,7 @@
 
     fn execute_cloud(&mut self, request: CloudRequest) -> CloudReply {
         match request {
+            _ if self.cloud_off => CloudReply::Failed,
             CloudRequest::Types => CloudReply::Types(self.cloud.types.clone()),
             CloudRequest::List { .. } => {
                 CloudReply::List { machines: self.cloud.list(self.now), more: false }
@@ -821,6 +830,44 @@
     }
 }
 
+/// A node that alone is refused by the state service, and that no peer can tell, must let its
+/// workers go in time for a cancellation that is told elsewhere.
+#[test]
+fn an_owner_that_is_cut_off_lets_its_workers_go() {
+    let mut world = World::new(5, false);
+    world.run(Ms(3000));
+    let mut spec = world.some_job();
+    (spec.tasks, spec.cpus, spec.estimate_s) = (3, 1.0, 400.0);
+    (spec.team, spec.one_zone, spec.spread) = (TeamId::new("free"), false, false);
+    let id = spec.id.clone();
+    let watch = JobWatch { spec: Some(spec.clone()), ..JobWatch::default() };
+    world.jobs.insert(id.clone(), watch);
+    world.asked.insert((0, 1_000_000), Asked::Submit(id.clone()));
+    let request = Request::Submit(Box::new(spec));
+    world.give(0, Event::Request { rid: 1_000_000, request });
+    world.run(Ms(30_000));
+    let task = TaskId { job: id.clone(), ix: TaskIx(0) };
+    let machine = &world.workers[&world.running[&task]];
+    let key = format!("cf/pool/{}/{}", machine.machine_type, machine.zone);
+    let holder = world.store.get(&key).expect("the pool is held");
+    let record: records::PoolRecord = serde_json::from_str(holder.value.get()).expect("a pool");
+    let owner = (0..NODES).find(|i| node_id(*i) == record.owner).expect("a node");
+
+    // No peer tells it, and no one can delete its machines instead.
+    (world.mesh_off, world.cloud_off) = (true, true);
+    world.store_cut[owner] = Ms(400_000);
+    world.run(Ms(31_000));
+    let other = (owner + 1) % NODES;
+    world.jobs.get_mut(&id).expect("known").cancel_asked = true;
+    world.asked.insert((other, 1_000_001), Asked::Withdraw(id.clone()));
+    let request = Request::Withdraw(id.clone());
+    world.give(other, Event::Request { rid: 1_000_001, request });
+    world.run(Ms(90_000));
+    assert!(world.jobs[&id].cancel_told.is_some());
+    assert!(world.broken.is_empty(), "{:#?}", world.broken);
+    assert!(!world.running.keys().any(|t| t.job == id));
+}
+
 #[test]
 fn troubled_days_keep_the_rules() {
     let (mut started, mut absences) = (0, 0);
