--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -154,6 +154,8 @@
                 }
             };
             chart.fetch_gb_per_s = kind.fetch_gb_per_s;
+            let price = if m.spot { kind.spot_price } else { kind.price };
+            chart.cost = (price / kind.cpus.max(0.001) * 1e6) as u64;
             chart.images = m.images.iter().map(|(image, _)| (image.clone(), now)).collect();
             for ((job, ix), _) in self.mirror.claims.get(id).into_iter().flatten() {
                 let Some(live) = self.mirror.jobs.get(job) else {
--- a/crates/cleatfold-plan/src/chart.rs
+++ b/crates/cleatfold-plan/src/chart.rs
@@ -20,6 +20,9 @@
     /// Images here, and when each is (or is expected to be) ready.
     pub images: Vec<(ImageId, Ms)>,
     pub fetch_gb_per_s: f64,
+    /// What a processor costs here, in any unit: of two machines that finish within the same
+    /// second the cheaper one is taken, so that the dearer ones come free to be returned.
+    pub cost: u64,
     /// How long a task takes here against the estimate (a slow machine is above 1).
     pub slowness: f64,
 }
@@ -32,6 +35,7 @@
             open,
             images: Vec::new(),
             fetch_gb_per_s: 1.0,
+            cost: 0,
             slowness: 1.0,
         }
     }
