--- a/crates/cleatfold/src/main.rs
+++ b/crates/cleatfold/src/main.rs
@@ -8,6 +8,8 @@
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tracing_subscriber::filter::{LevelFilter, Targets};
+use tracing_subscriber::prelude::*;
 
 #[derive(Parser)]
 #[command(name = "cleatfold", version, about = "A cluster scheduler")]
@@ -59,13 +61,14 @@
         println!("{}: ok", path.display());
         return ExitCode::SUCCESS;
     }
-    tracing_subscriber::fmt()
-        .with_max_level(level)
+    // Connections that break off are everyday; the server's own lines on them would drown ours.
+    let filter = Targets::new().with_default(level).with_target("warp", LevelFilter::OFF);
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .with_target(false)
-        .without_time()
-        .init();
+        .without_time();
+    tracing_subscriber::registry().with(lines.with_filter(filter)).init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
