--- a/crates/cleatfold-control/tests/world.rs
+++ b/crates/cleatfold-control/tests/world.rs
@@ -126,6 +126,8 @@
     absences: u32,
     mesh_off: bool,
     cloud_off: bool,
+    /// How much later than usual the state service's answers reach a node.
+    slow_answers: Vec<u64>,
 }
 
 fn node_id(i: usize) -> NodeId {
@@ -204,6 +206,7 @@
             absences: 0,
             mesh_off: false,
             cloud_off: false,
+            slow_answers: vec![0; NODES],
         };
         for i in 0..NODES {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -417,7 +420,7 @@
                     self.execute(request)
                 };
                 if answered {
-                    let delay = self.delay(node);
+                    let delay = self.delay(node) + self.slow_answers[node];
                     let event = Box::new(Event::Store { op, reply });
                     self.at(delay, Happens::Node(node, life, event));
                 }
@@ -868,6 +871,43 @@
     assert!(!world.running.keys().any(|t| t.job == id));
 }
 
+/// A reading that was on its way when a poll came may be older than what another node has just
+/// told: the poll must wait for the next one.
+#[test]
+fn a_poll_waits_for_a_reading_sent_after_it() {
+    let mut world = World::new(6, false);
+    world.run(Ms(20_000));
+    world.slow_answers[2] = 900;
+    for n in 0..6u32 {
+        let mut spec = world.some_job();
+        (spec.tasks, spec.cpus, spec.estimate_s) = (2, 1.0, 3.0 + f64::from(n) * 0.3);
+        (spec.team, spec.one_zone, spec.spread) = (TeamId::new("free"), false, false);
+        spec.urgency = Urgency::Critical;
+        let id = spec.id.clone();
+        let watch = JobWatch { spec: Some(spec.clone()), ..JobWatch::default() };
+        world.jobs.insert(id.clone(), watch);
+        let rid = 2_000_000 + 10 * u64::from(n);
+        world.asked.insert((0, rid), Asked::Submit(id.clone()));
+        world.give(0, Event::Request { rid, request: Request::Submit(Box::new(spec)) });
+        let mut waited = 0;
+        while world.store.get(&format!("ar/{id}")).is_none() {
+            world.run(world.now.plus(60));
+            waited += 1;
+            assert!(waited < 5_000, "job {n} never ended");
+        }
+        for (node, rid) in [(0, rid + 1), (2, rid + 2)] {
+            let told = world.jobs[&id].told;
+            world.asked.insert((node, rid), Asked::Poll(id.clone(), told, true));
+            world.give(node, Event::Request { rid, request: Request::Poll(id.clone()) });
+            world.run(world.now.plus(400));
+        }
+        world.run(world.now.plus(3000));
+        // The world's other users may have cancelled it.
+        assert!(world.jobs[&id].told.is_some_and(JobState::is_final));
+    }
+    assert!(world.broken.is_empty(), "{:#?}", world.broken);
+}
+
 #[test]
 fn troubled_days_keep_the_rules() {
     let (mut started, mut absences) = (0, 0);
