Send each job to three pools instead of two

Expected less waiting for room in two chosen pools while others have some. The paper finds most of the gain from one to two and a little from more; the messages cost nothing here.

--- a/crates/cleatfold/src/settings.rs
+++ b/crates/cleatfold/src/settings.rs
@@ -222,7 +222,7 @@
             txn_ops: c.state.txn_ops,
             value_bytes: (c.state.value_kb * 1024.0) as usize,
             list_lag_ms: ms(c.cloud.list_lag_s.max(0.0)),
-            k: 2,
+            k: 3,
             sync_ms: 250,
             node_ttl_ms: 3000,
             aims: c.objectives.iter().filter_map(Objective::aim).collect(),
