One name for each check of a machine and a job

Read through: whether a machine takes work stood in four places, whether we are cut off in two, whether a job is over in three. Behaviour stays. Also a comment on is_idle that was untrue.

--- a/crates/cleatfold-control/src/fleet.rs
+++ b/crates/cleatfold-control/src/fleet.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// May be given new tasks, as far as its own state goes.
+    pub fn takes_work(&self) -> bool {
+        !self.draining && !self.deleting && self.notice.is_none()
+    }
+
     pub fn heard(&self) -> Option<Ms> {
         self.report.as_ref().map(|r| r.at)
     }
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -180,7 +180,7 @@
             pools.iter().enumerate().map(|(i, p)| (p, i)).collect();
         let mut loads = vec![Load { work: 0.0, processors: 0.0 }; pools.len()];
         for m in self.fleet.machines.values() {
-            if m.draining || m.deleting || m.notice.is_some() {
+            if !m.takes_work() {
                 continue;
             }
             if let Some(&i) = index.get(&m.pool) {
@@ -265,7 +265,7 @@
         }
         let mut supply: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
         for (id, m) in &self.fleet.machines {
-            if m.draining || m.deleting || m.notice.is_some() {
+            if !m.takes_work() {
                 continue;
             }
             let mut free = self.fleet.total(&m.pool.machine_type).cpus as f64 / 1000.0;
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -134,7 +134,7 @@
         let mut ids = Vec::new();
         let mut charts = Vec::new();
         for (id, m) in self.fleet.in_pool(pool) {
-            if m.draining || m.deleting || m.notice.is_some() {
+            if !m.takes_work() {
                 continue;
             }
             let mut chart = match &m.report {
@@ -484,7 +484,7 @@
         n
     }
 
-    /// Whether every task a machine reports is a claim of ours: then its room is known.
+    /// Whether nothing is claimed for a machine and nothing runs there by its last report.
     pub(crate) fn is_idle(&self, id: &MachineId) -> bool {
         let claimed = self.mirror.claims.get(id).is_some_and(|c| !c.is_empty());
         let running = self
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -10,6 +10,7 @@
 use crate::fleet::{LastReport, Machine};
 use crate::jobs::End;
 use crate::node::Node;
+use cleatfold_wire::cloud::MachineState;
 use cleatfold_wire::worker::{Command, Exit, Report, ReportReply, TaskState};
 use cleatfold_wire::*;
 use std::collections::BTreeSet;
@@ -40,10 +41,7 @@
             self.want_sync = true;
             return self.reply(rid, Response::Redirect(None));
         }
-        // Cut off from the state service: past this, a cancellation told elsewhere could no
-        // longer be met if we went on renewing leases.
-        let deaf = self.fresh.map_or(u64::MAX, |f| self.now.since(f));
-        if deaf > self.cfg.deaf_limit_ms() {
+        if self.is_cut_off() {
             return self.reply(rid, Response::later("cut off from the state service"));
         }
         let known = self.fleet.machines.get(&report.machine).and_then(|m| m.report.as_ref());
@@ -62,6 +60,18 @@
         }
     }
 
+    /// Cut off from the state service for so long that a cancellation told elsewhere could no
+    /// longer be met if we went on renewing leases.
+    fn is_cut_off(&self) -> bool {
+        let deaf = self.fresh.map_or(u64::MAX, |f| self.now.since(f));
+        deaf > self.cfg.deaf_limit_ms()
+    }
+
+    /// Cancelled, or not among the live jobs: nothing of it may start or go on.
+    fn is_over(&self, job: &JobId) -> bool {
+        self.mirror.jobs.get(job).is_none_or(|j| j.record.aborted)
+    }
+
     /// How long the answer to a report that calls for no command may wait for one: where there
     /// is room, a claim made meanwhile is ordered at once instead of at the next report. It
     /// stays an answer to the newest report, so nothing in it can be executed late; and it is
@@ -100,10 +110,9 @@
             .collect();
         for id in due {
             let Some(held) = self.held.remove(&id) else { continue };
-            let deaf = self.fresh.map_or(u64::MAX, |f| self.now.since(f));
             let response = if self.my_token(&held.pool) != Some(held.token) {
                 Response::Redirect(None)
-            } else if deaf > self.cfg.deaf_limit_ms() {
+            } else if self.is_cut_off() {
                 Response::later("cut off from the state service")
             } else {
                 let commands = self.starts(&id, held.token);
@@ -117,16 +126,16 @@
     fn starts(&self, id: &MachineId, token: Token) -> Vec<Command> {
         let Some(machine) = self.fleet.machines.get(id) else { return vec![] };
         let Some(report) = &machine.report else { return vec![] };
-        if machine.draining || machine.deleting || machine.notice.is_some() {
+        if !machine.takes_work() {
             return vec![];
         }
         let listed: BTreeSet<&TaskId> = report.tasks.iter().map(|t| &t.task).collect();
         let mut starts = Vec::new();
         for ((job, ix), claim) in self.mirror.claims.get(id).into_iter().flatten() {
             let task = TaskId { job: job.clone(), ix: *ix };
-            let aborted = self.mirror.jobs.get(job).is_none_or(|j| j.record.aborted);
+            let over = self.is_over(job);
             let ending = self.locals.get(job).is_some_and(|l| l.ends.iter().any(|e| e.ix == *ix));
-            if claim.token == token && !aborted && !ending && !listed.contains(&task) {
+            if claim.token == token && !over && !ending && !listed.contains(&task) {
                 starts.push(Command::Start { task, attempt: claim.attempt });
             }
         }
@@ -198,7 +207,7 @@
             if ours {
                 listed.insert((t.task.job.clone(), t.task.ix));
             }
-            let aborted = self.mirror.jobs.get(&t.task.job).is_none_or(|j| j.record.aborted);
+            let over = self.is_over(&t.task.job);
             match (t.state, ours) {
                 (TaskState::Exited, false) => {
                     commands.push(Command::Forget { task: t.task.clone(), attempt: t.attempt })
@@ -210,7 +219,7 @@
                     let exit = t.why.unwrap_or(Exit::Other);
                     ends.push((t.clone(), exit));
                 }
-                (_, ours) if !ours || aborted => commands.push(Command::Stop {
+                (_, ours) if !ours || over => commands.push(Command::Stop {
                     task: t.task.clone(),
                     attempt: t.attempt,
                     grace_s: 0.0,
@@ -238,7 +247,7 @@
                 // Another attempt of it is here and is being stopped.
                 continue;
             }
-            let aborted = self.mirror.jobs.get(&job).is_none_or(|j| j.record.aborted);
+            let over = self.is_over(&job);
             let ending = self
                 .locals
                 .get(&job)
@@ -250,7 +259,7 @@
             if claim.token == token {
                 // Ours under this token. Absent from a report newer than any answer of ours
                 // that ordered it: not there. Order it (again), or give it up.
-                if aborted || draining || notice.is_some() {
+                if over || draining || notice.is_some() {
                     lost.push((job, ix, claim.attempt, "not started"));
                 } else {
                     starts.push(Command::Start { task, attempt: claim.attempt });
@@ -284,7 +293,7 @@
             };
             let changed = machine.report.as_ref().is_none_or(|r| r.tasks != last.tasks);
             machine.report = Some(last);
-            machine.listed = Some(cloud_running());
+            machine.listed = Some(MachineState::Running);
             changed
         };
         if changed || first {
@@ -400,7 +409,3 @@
         self.end(&task.job, end);
     }
 }
-
-fn cloud_running() -> cleatfold_wire::cloud::MachineState {
-    cleatfold_wire::cloud::MachineState::Running
-}
