Build a job's transaction when our part of the changes lets it go

Now each node paces changes by an even part of the limit among live nodes, and what waits gathers per job; most task-milliseconds first, submissions ahead unless they flood.

--- a/crates/cleatfold-control/src/config.rs
+++ b/crates/cleatfold-control/src/config.rs
@@ -46,6 +46,8 @@
     pub lease_ms: u64,
     pub cancel_ms: u64,
     pub txn_ops: usize,
+    /// Changes a second that the state service takes from all nodes together.
+    pub changes_per_s: f64,
     pub value_bytes: usize,
     pub list_lag_ms: u64,
     /// Pools that a job is sent to.
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -7,7 +7,7 @@
 use crate::effects::*;
 use crate::node::{Node, Pending};
 use crate::records::*;
-use cleatfold_wire::job::{JobState, Kind};
+use cleatfold_wire::job::{JobState, Kind, Urgency};
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::worker::Exit;
@@ -45,6 +45,8 @@
     /// Someone else changed it; nothing is sent before the next reading.
     pub stale_since: Option<Ms>,
     pub not_before: Ms,
+    /// Since when something of it has waited to be recorded.
+    pub unsent_since: Option<Ms>,
     pub ends: Vec<End>,
     pub wishes: Vec<Wish>,
     pub abort: bool,
@@ -77,6 +79,27 @@
     Ended(ArchiveRecord),
 }
 
+/// What recording the news of a job now is worth, in task-milliseconds of waiting.
+fn weight(local: &Local, live: Option<&crate::mirror::Live>, waited: u64) -> u64 {
+    let Some(live) = live.filter(|_| !local.abort) else {
+        return u64::MAX;
+    };
+    let done = local.ends.iter().filter(|e| e.done).count() as u32;
+    let starts: u32 = local.wishes.iter().map(|w| w.tasks).sum();
+    let mut n = local.ends.len() as u64 + u64::from(starts);
+    if live.done + done >= live.record.spec.tasks {
+        // Its user waits for just this.
+        n *= 4;
+    }
+    let urgency = match live.record.spec.urgency {
+        Urgency::Critical => 4,
+        Urgency::High => 3,
+        Urgency::Normal => 2,
+        Urgency::BestEffort => 1,
+    };
+    n * urgency * (300 + waited)
+}
+
 fn part_of(record: &JobRecord, ix: TaskIx) -> Option<u32> {
     record.in_parts().then_some(ix.0 / PART)
 }
@@ -109,6 +132,7 @@
     }
 
     pub(crate) fn end(&mut self, job: &JobId, end: End) {
+        self.note_unsent(job);
         let local = self.local(job);
         match local.ends.iter_mut().find(|e| e.ix == end.ix && e.attempt == end.attempt) {
             // A proof for ever replaces one that needs our token.
@@ -118,34 +142,67 @@
         }
     }
 
-    /// Sends whatever is due.
+    /// Sends what is due, as far as our part of the state service's changes goes: what weighs
+    /// most goes first, the rest gathers until its turn.
     pub(crate) fn flush(&mut self) {
-        self.flush_submissions();
-        if !self.loaded {
-            return;
-        }
-        let due: Vec<JobId> = self
-            .locals
-            .iter()
-            .filter(|(_, l)| {
-                !l.busy
-                    && l.stale_since.is_none()
-                    && l.not_before <= self.now
-                    && (!l.ends.is_empty() || !l.wishes.is_empty() || l.abort)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        for job in due {
+        let nodes = if self.in_contact() { self.mirror.nodes.len() } else { 0 };
+        let nodes = if nodes == 0 { self.cfg.peers.len() + 1 } else { nodes };
+        self.pace.fill(self.now, self.cfg.changes_per_s, nodes);
+        while self.pace.open() {
+            let due = if self.loaded { self.weightiest() } else { None };
+            // Submissions first, but a flood of them leaves the jobs every other change.
+            if self.ahead == 0 || due.is_none() {
+                let sent = self.flush_submissions();
+                self.ahead += sent;
+                if sent > 0 {
+                    continue;
+                }
+            }
+            let Some(job) = due else { return };
+            self.ahead = self.ahead.saturating_sub(1);
             self.send_job_tx(job);
         }
     }
 
+    /// The job whose change is worth most now: how many starts and ends it would record, how
+    /// long they have waited and how urgent they are. Long waits win in the end, so nothing
+    /// starves.
+    fn weightiest(&mut self) -> Option<JobId> {
+        let (locals, mirror, now) = (&mut self.locals, &self.mirror, self.now);
+        let mut best: Option<(u64, &JobId)> = None;
+        self.unsent.retain(|id| {
+            locals
+                .get(id)
+                .is_some_and(|l| l.busy || l.abort || !l.ends.is_empty() || !l.wishes.is_empty())
+        });
+        for id in &self.unsent {
+            let Some(local) = locals.get_mut(id) else { continue };
+            if local.busy || local.stale_since.is_some() || local.not_before > now {
+                continue;
+            }
+            let since = *local.unsent_since.get_or_insert(now);
+            let weight = weight(local, mirror.jobs.get(id), now.since(since));
+            if best.is_none_or(|b| weight > b.0) {
+                best = Some((weight, id));
+            }
+        }
+        best.map(|b| b.1.clone())
+    }
+
+    /// Something of the job waits to be recorded.
+    pub(crate) fn note_unsent(&mut self, job: &JobId) {
+        if !self.unsent.contains(job) {
+            self.unsent.insert(job.clone());
+        }
+    }
+
     fn send_job_tx(&mut self, job: JobId) {
         let Some(tx) = self.build(&job) else { return };
         let Some(local) = self.locals.get_mut(&job) else {
             return;
         };
         local.busy = true;
+        local.unsent_since = None;
         let txn = tx.txn.clone();
         self.store(Lane::Claim, StoreRequest::Txn(txn), Pending::Job(Box::new(tx)));
     }
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod leader;
 mod mirror;
 mod node;
+mod pace;
 pub mod records;
 mod requests;
 mod schedule;
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -110,6 +110,11 @@
     pub(crate) sync_inflight: bool,
     pub(crate) sync_sent: Ms,
     pub(crate) want_sync: bool,
+    pub(crate) pace: crate::pace::Pace,
+    /// Jobs that may have something to be recorded.
+    pub(crate) unsent: BTreeSet<JobId>,
+    /// Changes that submissions were ahead of the jobs' own.
+    pub(crate) ahead: usize,
     /// The state service's content was known to us as of this moment.
     pub(crate) fresh: Option<Ms>,
     /// The last call that the state service failed to answer.
@@ -181,6 +186,9 @@
             sync_inflight: false,
             sync_sent: Ms(0),
             want_sync: false,
+            pace: Default::default(),
+            unsent: BTreeSet::new(),
+            ahead: 0,
             fresh: None,
             store_failed: None,
             lease: None,
@@ -249,6 +257,9 @@
         let op = self.next_op;
         self.next_op += 1;
         self.ops.insert(op, pending);
+        if let StoreRequest::Txn(txn) = &request {
+            self.pace.spend(txn.changes.len());
+        }
         self.out.push(Effect::Store { op, lane, request });
         op
     }
@@ -276,6 +287,9 @@
         self.last_tick = self.now;
         for (at, op, lane, request) in std::mem::take(&mut self.resend) {
             if at <= self.now {
+                if let StoreRequest::Txn(txn) = &request {
+                    self.pace.spend(txn.changes.len());
+                }
                 self.out.push(Effect::Store { op, lane, request });
             } else {
                 self.resend.push((at, op, lane, request));
--- /dev/null
+++ b/crates/cleatfold-control/src/pace.rs
@@ -0,0 +1,55 @@
+//! Our part of the changes that the state service takes.
+//!
+//! Changes are what runs short when a deployment grows, so what is to be changed waits in the
+//! node, where it can still be joined by more of the same job, and a transaction is only built
+//! when it may go. (Built at once and queued behind others, each carried what was known when it
+//! joined the queue: a job of forty tasks needed a change for nearly every one of them.)
+
+use cleatfold_wire::Ms;
+
+/// What is kept back of the service's limit, for changes that nobody counted.
+const MARGIN: f64 = 0.92;
+
+#[derive(Debug, Default)]
+pub(crate) struct Pace {
+    level: f64,
+    filled: Ms,
+}
+
+impl Pace {
+    /// `limit` is the whole service's, `nodes` how many live on it.
+    pub fn fill(&mut self, now: Ms, limit: f64, nodes: usize) {
+        let rate = limit * MARGIN / nodes.max(1) as f64;
+        let passed = now.since(self.filled) as f64 / 1000.0;
+        self.filled = now;
+        self.level = (self.level + rate * passed).min(rate.max(2.0));
+    }
+
+    /// A change may go. One that turns out larger overdraws; it is paid back before the next.
+    pub fn open(&self) -> bool {
+        self.level >= 1.0
+    }
+
+    pub fn spend(&mut self, changes: usize) {
+        self.level -= changes as f64;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_second_lets_no_more_through_than_our_part() {
+        let mut pace = Pace::default();
+        let mut sent = 0;
+        for ms in (1000..=11_000).step_by(50) {
+            pace.fill(Ms(ms), 30.0, 3);
+            while pace.open() {
+                pace.spend(3);
+                sent += 3;
+            }
+        }
+        assert!((90..=110).contains(&sent), "{sent}");
+    }
+}
--- a/crates/cleatfold-control/src/requests.rs
+++ b/crates/cleatfold-control/src/requests.rs
@@ -148,6 +148,7 @@
             let local = self.local(&w.job);
             local.abort = true;
             local.withdrawals.push(w.rid);
+            self.note_unsent(&w.job);
             return;
         }
         self.reply(w.rid, Response::Status { code: 200, status });
@@ -233,9 +234,10 @@
     }
 
     /// Group commit: what came in while the last batch was under way goes together.
-    pub(crate) fn flush_submissions(&mut self) {
+    /// Returns the number of changes.
+    pub(crate) fn flush_submissions(&mut self) -> usize {
         if self.submit_inflight || self.submissions.is_empty() {
-            return;
+            return 0;
         }
         let mut batch: Vec<Submission> = Vec::new();
         let mut txn = Txn::default();
@@ -266,11 +268,13 @@
             batch.push(next);
         }
         if batch.is_empty() {
-            return;
+            return 0;
         }
         self.submit_inflight = true;
+        let changes = txn.changes.len();
         let request = StoreRequest::Txn(txn.clone());
         self.store(Lane::Submission, request, Pending::Submit { batch, txn });
+        changes
     }
 
     pub(crate) fn on_submitted(&mut self, batch: Vec<Submission>, txn: Txn, reply: StoreReply) {
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -90,6 +90,12 @@
         }
         self.plans.planned = self.now;
         self.dirty = false;
+        // What is not on its way yet is wished anew, by what is known now.
+        for job in &self.unsent {
+            if let Some(local) = self.locals.get_mut(job) {
+                local.wishes.clear();
+            }
+        }
         if self.owned_since.is_empty() {
             return;
         }
@@ -354,6 +360,7 @@
             };
             let job = job.clone();
             self.local(&job).wishes.push(wish);
+            self.note_unsent(&job);
         }
     }
 
--- a/crates/cleatfold-control/tests/world.rs
+++ b/crates/cleatfold-control/tests/world.rs
@@ -152,6 +152,7 @@
         lease_ms: LEASE_MS,
         cancel_ms: CANCEL_MS,
         txn_ops: 16,
+        changes_per_s: 60.0,
         value_bytes: 16 * 1024,
         list_lag_ms: 10_000,
         k: 2,
--- a/crates/cleatfold/src/settings.rs
+++ b/crates/cleatfold/src/settings.rs
@@ -220,6 +220,7 @@
             lease_ms: ms(c.workers.lease_s),
             cancel_ms: ms(c.workers.cancel_s),
             txn_ops: c.state.txn_ops,
+            changes_per_s: c.state.write_rps,
             value_bytes: (c.state.value_kb * 1024.0) as usize,
             list_lag_ms: ms(c.cloud.list_lag_s.max(0.0)),
             k: 3,
