Rent up to 50 machines a call, several kinds at once; rents before lists

Now requests ask for what is lacking (50 by the protocol), up to four kinds at once, before lists; the leader has half of the rate; lists take at most half of a node's calls; a pool's crowd is measured against the fleet, not in machines.

--- a/crates/cleatfold-clients/src/cloud.rs
+++ b/crates/cleatfold-clients/src/cloud.rs
@@ -1,30 +1,47 @@
 //! The cloud's client: one call at a time, spaced so that the nodes together keep the rate.
+//! What rents or returns machines goes before what only looks: the list of a large fleet takes
+//! several calls.
 
 use crate::http::Http;
 use cleatfold_control::{CloudReply, CloudRequest};
 use cleatfold_wire::cloud::{MachineList, MachineTypes, Machines};
 use hyper::Method;
+use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 pub struct Job {
     pub op: u64,
     pub request: CloudRequest,
+    /// The least time from the start of one call to the next.
+    pub spacing: Duration,
 }
 
 pub async fn run(
     endpoint: String,
-    requests_per_s: f64,
     mut queue: mpsc::UnboundedReceiver<Job>,
     answer: impl Fn(u64, CloudReply),
 ) {
     let http = Http::new(&endpoint);
-    let spacing = Duration::from_secs_f64(1.0 / requests_per_s.max(0.1));
-    while let Some(job) = queue.recv().await {
+    let mut waiting: VecDeque<Job> = VecDeque::new();
+    loop {
+        if waiting.is_empty() {
+            let Some(job) = queue.recv().await else { return };
+            waiting.push_back(job);
+        }
+        while let Ok(job) = queue.try_recv() {
+            waiting.push_back(job);
+        }
+        let acts = |j: &Job| matches!(j.request, CloudRequest::Rent(_) | CloudRequest::Delete(_));
+        let next = waiting.iter().position(acts).unwrap_or(0);
+        let Some(job) = waiting.remove(next) else { continue };
+        let started = Instant::now();
         let reply = execute(&http, &job.request).await;
         let failed = matches!(reply, CloudReply::Failed);
         answer(job.op, reply);
-        tokio::time::sleep(if failed { spacing * 4 } else { spacing }).await;
+        let spacing = if failed { job.spacing * 4 } else { job.spacing };
+        tokio::time::sleep_until(started + spacing).await;
     }
 }
 
--- a/crates/cleatfold-control/src/config.rs
+++ b/crates/cleatfold-control/src/config.rs
@@ -49,6 +49,8 @@
     /// Changes a second that the state service takes from all nodes together.
     pub changes_per_s: f64,
     pub value_bytes: usize,
+    /// Calls a second that the cloud takes from all nodes together.
+    pub cloud_calls_per_s: f64,
     pub list_lag_ms: u64,
     /// Pools that a job is sent to.
     pub k: usize,
--- a/crates/cleatfold-control/src/effects.rs
+++ b/crates/cleatfold-control/src/effects.rs
@@ -137,6 +137,8 @@
     Cloud {
         op: u64,
         request: CloudRequest,
+        /// At least so long after the call before, so that the nodes together keep the rate.
+        spacing_ms: u64,
     },
     /// To one peer, or to all.
     Mesh {
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -20,6 +20,10 @@
 
 /// A pool that changed hands is left where it is for so long.
 const SETTLE_MS: u64 = 10_000;
+/// Rental requests under way at one time.
+const RENTS: usize = 4;
+/// Machines that one rental request may ask for, by the protocol.
+const RENT_COUNT: u32 = 50;
 
 impl Node {
     fn is_leader(&self) -> bool {
@@ -260,7 +264,7 @@
     /// then is rented in the pool that suits it best. (Renting for the sum of the queue once
     /// filled the region with machines that the waiting jobs could not use.)
     fn rent(&mut self) {
-        if self.rent_inflight > 1 || self.list_at.is_none() {
+        if self.rent_inflight >= RENTS || self.list_at.is_none() {
             return;
         }
         let mut supply: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
@@ -304,14 +308,25 @@
                 }
             }
         }
-        let Some(((pool, spot), lack)) =
-            lacking.into_iter().max_by(|a, b| a.1.total_cmp(&b.1).then(b.0.cmp(&a.0)))
-        else {
-            return;
-        };
+        let mut wanted: Vec<((PoolId, bool), f64)> = lacking.into_iter().collect();
+        wanted.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        for ((pool, spot), lack) in wanted {
+            if self.rent_inflight >= RENTS {
+                return;
+            }
+            self.rent_some(pool, spot, lack);
+        }
+    }
+
+    fn rent_some(&mut self, pool: PoolId, spot: bool, lack: f64) {
         let Some(incarnation) = self.incarnation else { return };
+        // What was asked for and is not answered yet is on its way.
+        let asked = |p: &Pending| matches!(p, Pending::Rent { request, .. } if request.machine_type == pool.machine_type && request.zone == pool.zone && request.spot == spot);
+        if self.ops.values().any(asked) {
+            return;
+        }
         let cpus = self.fleet.types.get(&pool.machine_type).map_or(1.0, |t| t.cpus.max(0.1));
-        let count = ((lack / cpus).ceil() as u32).clamp(1, 8);
+        let count = ((lack / cpus).ceil() as u32).clamp(1, RENT_COUNT);
         self.rent_count += 1;
         let request = RentRequest {
             request: format!("{}-{}-{}", self.cfg.me, incarnation, self.rent_count),
@@ -348,6 +363,7 @@
         per_zone: f64,
     ) -> Option<(PoolId, bool)> {
         let mut best: Option<(f64, (PoolId, bool))> = None;
+        let all = self.fleet.machines.len().max(1) as f64;
         for pool in self.fleet.pools() {
             let Some(kind) = self.fleet.types.get(&pool.machine_type) else { continue };
             let full = zones.get(&pool.zone).is_some_and(|z| *z >= per_zone);
@@ -361,7 +377,7 @@
                     continue;
                 }
                 let price = if spot { kind.spot_price } else { kind.price };
-                let crowd = 1.0 + 0.02 * self.fleet.in_pool(&pool).count() as f64;
+                let crowd = 1.0 + 0.5 * self.fleet.in_pool(&pool).count() as f64 / all;
                 let mut rank = price / kind.cpus * (1.0 + kind.boot_s / 60.0) * crowd;
                 if lacking.contains_key(&key) {
                     // Fill what is being rented anyway.
@@ -377,13 +393,30 @@
 
     // ---- the cloud's answers ----
 
+    /// The leader does the renting: half of the cloud's rate is its, the others share the rest.
+    pub(crate) fn cloud_spacing_ms(&self) -> u64 {
+        let others = self.cfg.peers.len();
+        let share = match (others, self.is_leader()) {
+            (0, _) => 1.0,
+            (_, true) => 0.5,
+            (n, false) => 0.5 / n as f64,
+        };
+        (1000.0 / (self.cfg.cloud_calls_per_s * share).max(0.1)) as u64
+    }
+
+    /// Looking takes at most half of our calls, however many pages the list has.
+    fn list_ms(&self) -> u64 {
+        let pages = 1 + self.fleet.machines.len() as u64 / 500;
+        (2 * pages * self.cloud_spacing_ms()).max(4000)
+    }
+
     pub(crate) fn keep_cloud(&mut self) {
         let types_due = self.types_at.is_none_or(|at| self.now.since(at) > 60_000);
         if types_due && !self.types_asked {
             self.types_asked = true;
             self.cloud(CloudRequest::Types, Pending::Types);
         }
-        let list_due = self.list_at.is_none_or(|at| self.now.since(at) > 4000);
+        let list_due = self.list_at.is_none_or(|at| self.now.since(at) > self.list_ms());
         if list_due && !self.list_asked && self.types_at.is_some() {
             self.list_asked = true;
             let sent = self.now;
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -268,7 +268,8 @@
         let op = self.next_op;
         self.next_op += 1;
         self.ops.insert(op, pending);
-        self.out.push(Effect::Cloud { op, request });
+        let spacing_ms = self.cloud_spacing_ms();
+        self.out.push(Effect::Cloud { op, request, spacing_ms });
     }
 
     pub(crate) fn tell(&mut self, to: Option<NodeId>, message: Message) {
--- a/crates/cleatfold-control/tests/world.rs
+++ b/crates/cleatfold-control/tests/world.rs
@@ -154,6 +154,7 @@
         txn_ops: 16,
         changes_per_s: 60.0,
         value_bytes: 16 * 1024,
+        cloud_calls_per_s: 4.0,
         list_lag_ms: 10_000,
         k: 2,
         sync_ms: 250,
@@ -380,7 +381,7 @@
                     let answered = !(lost || delay > 1500);
                     self.at(delay, Happens::StoreRequest { node, life, op, request, answered });
                 }
-                Effect::Cloud { op, request } => {
+                Effect::Cloud { op, request, .. } => {
                     let delay = self.delay(node) + 100;
                     self.at(delay, Happens::CloudRequest { node, life, op, request });
                 }
--- a/crates/cleatfold/src/actor.rs
+++ b/crates/cleatfold/src/actor.rs
@@ -47,8 +47,9 @@
             Effect::Store { op, lane, request } => {
                 let _ = self.store.send(store::Job { op, lane, request });
             }
-            Effect::Cloud { op, request } => {
-                let _ = self.cloud.send(cloud::Job { op, request });
+            Effect::Cloud { op, request, spacing_ms } => {
+                let spacing = Duration::from_millis(spacing_ms);
+                let _ = self.cloud.send(cloud::Job { op, request, spacing });
             }
             Effect::Mesh { to, message } => self.send(to, &message),
         }
@@ -82,10 +83,8 @@
         },
     ));
     let to_core = core.clone();
-    let share = settings.cluster.cloud.rps / (settings.peers.len() + 1) as f64;
     tokio::task::spawn_local(cloud::run(
         settings.endpoints.cloud.to_string(),
-        share,
         cloud_jobs,
         move |op, reply| {
             let _ = to_core.send(ToCore::Event(Event::Cloud { op, reply }));
--- a/crates/cleatfold/src/settings.rs
+++ b/crates/cleatfold/src/settings.rs
@@ -222,6 +222,7 @@
             txn_ops: c.state.txn_ops,
             changes_per_s: c.state.write_rps,
             value_bytes: (c.state.value_kb * 1024.0) as usize,
+            cloud_calls_per_s: c.cloud.rps,
             list_lag_ms: ms(c.cloud.list_lag_s.max(0.0)),
             k: 3,
             sync_ms: 250,
