--- a/crates/cleatfold-control/src/fleet.rs
+++ b/crates/cleatfold-control/src/fleet.rs
@@ -137,10 +137,21 @@
         }
     }
 
-    pub fn in_pool<'a>(
-        &'a self,
-        pool: &'a PoolId,
-    ) -> impl Iterator<Item = (&'a MachineId, &'a Machine)> {
-        self.machines.iter().filter(move |(_, m)| m.pool == *pool)
+    /// Machines per pool.
+    pub fn sizes(&self) -> BTreeMap<&PoolId, usize> {
+        let mut sizes = BTreeMap::new();
+        for m in self.machines.values() {
+            *sizes.entry(&m.pool).or_default() += 1;
+        }
+        sizes
+    }
+
+    /// The machines of each pool, found in one pass: a pass per pool is dear in a large fleet.
+    pub fn by_pool(&self) -> BTreeMap<&PoolId, Vec<(&MachineId, &Machine)>> {
+        let mut pools: BTreeMap<&PoolId, Vec<(&MachineId, &Machine)>> = BTreeMap::new();
+        for (id, m) in &self.machines {
+            pools.entry(&m.pool).or_default().push((id, m));
+        }
+        pools
     }
 }
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -20,6 +20,8 @@
 
 /// A pool that changed hands is left where it is for so long.
 const SETTLE_MS: u64 = 10_000;
+/// Looking at every machine costs by their number; nothing it finds is in a hurry.
+const WATCH_MS: u64 = 200;
 /// Rental requests under way at one time.
 const RENTS: usize = 4;
 /// Machines that one rental request may ask for, by the protocol.
@@ -76,7 +78,8 @@
             return;
         }
         let pools = self.fleet.pools();
-        let weight = |pool: &PoolId| 1.0 + self.fleet.in_pool(pool).count() as f64;
+        let sizes = self.fleet.sizes();
+        let weight = |pool: &PoolId| 1.0 + sizes.get(pool).copied().unwrap_or(0) as f64;
         let mut held: BTreeMap<NodeId, f64> =
             self.mirror.nodes.keys().map(|n| (n.clone(), 0.0)).collect();
         let mut orphans = Vec::new();
@@ -282,6 +285,7 @@
             *supply.entry((m.pool.clone(), m.spot)).or_default() += free.max(0.0);
         }
         let mut lacking: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
+        let sizes = self.fleet.sizes();
         for (id, unclaimed) in self.queue() {
             let Some(live) = self.mirror.jobs.get(&id) else { continue };
             let spec = &live.record.spec;
@@ -303,7 +307,7 @@
                 lack -= take;
             }
             if lack > 1e-9 {
-                if let Some(offer) = self.best_offer(live, &lacking, &zones, per_zone) {
+                if let Some(offer) = self.best_offer(live, &lacking, &zones, per_zone, &sizes) {
                     *lacking.entry(offer).or_default() += lack;
                 }
             }
@@ -361,6 +365,7 @@
         lacking: &BTreeMap<(PoolId, bool), f64>,
         zones: &BTreeMap<ZoneId, f64>,
         per_zone: f64,
+        sizes: &BTreeMap<&PoolId, usize>,
     ) -> Option<(PoolId, bool)> {
         let mut best: Option<(f64, (PoolId, bool))> = None;
         let all = self.fleet.machines.len().max(1) as f64;
@@ -377,7 +382,7 @@
                     continue;
                 }
                 let price = if spot { kind.spot_price } else { kind.price };
-                let crowd = 1.0 + 0.5 * self.fleet.in_pool(&pool).count() as f64 / all;
+                let crowd = 1.0 + 0.5 * sizes.get(&pool).copied().unwrap_or(0) as f64 / all;
                 let mut rank = price / kind.cpus * (1.0 + kind.boot_s / 60.0) * crowd;
                 if lacking.contains_key(&key) {
                     // Fill what is being rented anyway.
@@ -558,9 +563,10 @@
 
     pub(crate) fn watch_machines(&mut self) {
         // Cut off, we would take our own silence for the machines'. Others may hear them.
-        if !self.in_contact() {
+        if !self.in_contact() || self.now.since(self.watched) < WATCH_MS {
             return;
         }
+        self.watched = self.now;
         self.adopt_claimed_machines();
         let now = self.now;
         let silent_limit = 4 * self.cfg.report_ms + 2000;
@@ -732,12 +738,13 @@
             return;
         }
         let usage = self.limited_usage();
+        let sizes = self.fleet.sizes();
         let own: Vec<(PoolId, Token, Resources)> = self
             .owned_since
             .iter()
             .filter(|(p, _)| !self.hinted.contains_key(p))
             .map(|(p, o)| {
-                let n = self.fleet.in_pool(p).count() as u32;
+                let n = sizes.get(p).copied().unwrap_or(0) as u32;
                 (p.clone(), o.0, self.fleet.total(&p.machine_type).times(n))
             })
             .collect();
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -147,6 +147,7 @@
     pub(crate) held: BTreeMap<MachineId, crate::workers::Held>,
     pub(crate) strays: BTreeMap<MachineId, VecDeque<Ms>>,
     pub(crate) last_tick: Ms,
+    pub(crate) watched: Ms,
 
     pub(crate) peers: BTreeMap<NodeId, Peer>,
     /// Pools under a higher token than we have read, as told by their owners.
@@ -216,6 +217,7 @@
             held: BTreeMap::new(),
             strays: BTreeMap::new(),
             last_tick: Ms(0),
+            watched: Ms(0),
             peers,
             hinted: BTreeMap::new(),
             alive_sent: Ms(0),
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -1,6 +1,7 @@
 //! From the mirror and the fleet to reservations, promises and claims.
 
 use crate::effects::Effect;
+use crate::fleet::Machine;
 use crate::jobs::Wish;
 use crate::node::{Node, Pending};
 use cleatfold_plan::chart::FOREVER;
@@ -105,7 +106,7 @@
         self.tell_promises(&plans);
     }
 
-    fn chart_pools(&mut self, queue: &[(JobId, u32)]) -> Vec<PoolPlan> {
+    fn chart_pools(&self, queue: &[(JobId, u32)]) -> Vec<PoolPlan> {
         let pools: Vec<(PoolId, Token)> = self
             .owned_since
             .iter()
@@ -113,8 +114,10 @@
             .map(|(p, o)| (p.clone(), o.0))
             .collect();
         let mut plans = Vec::new();
+        let by_pool = self.fleet.by_pool();
         for (pool, token) in pools {
-            let (machines, mut charts) = self.charts(&pool, token);
+            let members = by_pool.get(&pool).map(Vec::as_slice).unwrap_or_default();
+            let (machines, mut charts) = self.charts(&pool, token, members);
             if machines.is_empty() {
                 continue;
             }
@@ -131,7 +134,12 @@
         self.cfg.report_ms * 5 / 2 + 500
     }
 
-    fn charts(&self, pool: &PoolId, token: Token) -> (Vec<MachineId>, Vec<MachineChart>) {
+    fn charts(
+        &self,
+        pool: &PoolId,
+        token: Token,
+        members: &[(&MachineId, &Machine)],
+    ) -> (Vec<MachineId>, Vec<MachineChart>) {
         let now = self.now;
         let total = self.fleet.total(&pool.machine_type);
         let Some(kind) = self.fleet.types.get(&pool.machine_type) else {
@@ -139,7 +147,7 @@
         };
         let mut ids = Vec::new();
         let mut charts = Vec::new();
-        for (id, m) in self.fleet.in_pool(pool) {
+        for &(id, m) in members {
             if !m.takes_work() {
                 continue;
             }
@@ -175,7 +183,7 @@
                     chart.images.push((image.clone(), ready));
                 }
             }
-            ids.push(id.clone());
+            ids.push((*id).clone());
             charts.push(chart);
         }
         (ids, charts)
@@ -233,6 +241,12 @@
     ) -> (Vec<JobId>, Vec<Request>) {
         let mut jobs = Vec::new();
         let mut requests = Vec::new();
+        let failed: Vec<(usize, &Machine)> = machines
+            .iter()
+            .enumerate()
+            .filter_map(|(i, id)| Some((i, self.fleet.machines.get(id)?)))
+            .filter(|(_, m)| !m.failed_jobs.is_empty() && self.now.since(m.failed_at) < 60_000)
+            .collect();
         for (id, unclaimed) in queue {
             let Some(live) = self.mirror.jobs.get(id) else {
                 continue;
@@ -259,16 +273,8 @@
             if tasks == 0 || (spec.kind == Kind::Gang && live.claimed > 0) {
                 continue;
             }
-            let avoid = machines
-                .iter()
-                .enumerate()
-                .filter(|(_, m)| {
-                    self.fleet.machines.get(*m).is_some_and(|m| {
-                        m.failed_jobs.contains(id) && self.now.since(m.failed_at) < 60_000
-                    })
-                })
-                .map(|(i, _)| i)
-                .collect();
+            let avoid =
+                failed.iter().filter(|(_, m)| m.failed_jobs.contains(id)).map(|f| f.0).collect();
             jobs.push(id.clone());
             requests.push(Request {
                 each: live.each,
--- a/crates/cleatfold-plan/src/chart.rs
+++ b/crates/cleatfold-plan/src/chart.rs
@@ -65,10 +65,16 @@
 
     /// The earliest start of at least one task, and how many can start together then.
     pub fn earliest(&self, request: &Request, tasks: u32) -> Option<(Ms, Ms, u32)> {
+        let image = self.image_ready(request);
         let mut i = 0;
         while i < self.steps.len() {
+            // Most steps of a busy machine have no room at all.
+            if self.steps[i].1.fits(&request.each, 1) == 0 {
+                i += 1;
+                continue;
+            }
             let start = self.steps[i].0;
-            let finish = self.finish(request, start);
+            let finish = self.finish(request, image, start);
             let mut count = tasks;
             let mut j = i;
             while j < self.steps.len() && self.steps[j].0 < finish {
@@ -89,7 +95,7 @@
 
     /// How many tasks can run from `start` on, and until when.
     fn room(&self, request: &Request, start: Ms, tasks: u32) -> (Ms, u32) {
-        let finish = self.finish(request, start);
+        let finish = self.finish(request, self.image_ready(request), start);
         let first = self.steps.partition_point(|s| s.0 <= start);
         if first == 0 {
             return (finish, 0);
@@ -104,11 +110,16 @@
         (finish, count)
     }
 
+    /// When the request's image is (or is expected to be) here, if it is or will be.
+    fn image_ready(&self, request: &Request) -> Option<Ms> {
+        self.images.iter().find(|(image, _)| *image == request.image).map(|(_, ready)| *ready)
+    }
+
     /// When a task started at `start` is expected to end: image first, then the work.
-    fn finish(&self, request: &Request, start: Ms) -> Ms {
+    fn finish(&self, request: &Request, image: Option<Ms>, start: Ms) -> Ms {
         let fetched = start.plus_s(request.image_gb / self.fetch_gb_per_s.max(0.001));
-        let ready = match self.images.iter().find(|(image, _)| *image == request.image) {
-            Some((_, ready)) => fetched.min(start.max(*ready)),
+        let ready = match image {
+            Some(ready) => fetched.min(start.max(ready)),
             None => fetched,
         };
         if request.run_ms >= FOREVER {
