--- a/crates/cleatfold-control/src/config.rs
+++ b/crates/cleatfold-control/src/config.rs
@@ -69,6 +69,13 @@
         self.teams.iter().find(|t| t.name == *name)
     }
 
+    /// A machine silent for so long is given up and deleted, which proves it gone. Two reports
+    /// and the worker's way to another node must have failed; and where the lease is short, it
+    /// is left to run out, for a worker that only lost its node keeps its tasks until then.
+    pub fn given_up_ms(&self) -> u64 {
+        (self.report_ms * 5 / 2 + 4000).max(self.lease_ms.min(12_000))
+    }
+
     /// After so long without the state service an owner stops answering workers. A job may
     /// have been cancelled elsewhere right after our last reading; the workers' lease must
     /// have run out before `cancel_s` has. The margin covers 0.05% of clock drift on either
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -569,9 +569,10 @@
         self.watched = self.now;
         self.adopt_claimed_machines();
         let now = self.now;
-        let silent_limit = 4 * self.cfg.report_ms + 2000;
-        let mut silent: Vec<(MachineId, u64)> = Vec::new();
-        let mut reporting = 0;
+        let silent_limit = self.cfg.given_up_ms();
+        let mut silent: Vec<(MachineId, ZoneId, u64)> = Vec::new();
+        // Per zone: how many of our machines are silent, and how many report.
+        let mut zones: BTreeMap<ZoneId, (usize, usize)> = BTreeMap::new();
         let mut delete: Vec<MachineId> = Vec::new();
         let mut expired: Vec<(MachineId, PoolId, Token)> = Vec::new();
         let mut turned_silent = false;
@@ -632,11 +633,12 @@
                             m.expired = true;
                             expired.push((id.clone(), m.pool.clone(), token));
                         }
-                        silent.push((id, quiet));
+                        zones.entry(m.pool.zone.clone()).or_default().0 += 1;
+                        silent.push((id, m.pool.zone.clone(), quiet));
                         turned_silent = true;
                         continue;
                     }
-                    reporting += 1;
+                    zones.entry(m.pool.zone.clone()).or_default().1 += 1;
                 }
             }
             if !idle {
@@ -650,9 +652,11 @@
                 delete.push(id);
             }
         }
-        // Many at once is a cut, or us: deleting them would make it worse.
-        let cut = silent.len() > 2 && silent.len() * 2 > reporting;
-        for (id, quiet) in silent {
+        // Many of one zone at once is a cut, or us: deleting them would make it worse. (Counted
+        // over all of an owner's machines, a cut zone passed for a few dead ones among many.)
+        for (id, zone, quiet) in silent {
+            let (gone, there) = zones.get(&zone).copied().unwrap_or_default();
+            let cut = gone > 2 && gone * 2 > there;
             if !cut || quiet > self.cfg.lease_ms * 2 {
                 delete.push(id);
             }
