--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -20,6 +20,8 @@
 
 /// A pool that changed hands is left where it is for so long.
 const SETTLE_MS: u64 = 10_000;
+/// A leader that started so lately is likely not the only one that did.
+const JUST_STARTED_MS: u64 = 5000;
 /// Looking at every machine costs by their number; nothing it finds is in a hurry.
 const WATCH_MS: u64 = 200;
 /// Rental requests under way at one time.
@@ -72,9 +74,11 @@
         if self.dealing.is_some() || !read || self.mirror.nodes.is_empty() {
             return;
         }
-        // At the start of all, wait a little for the others rather than deal twice.
+        // At a start of all, wait a little for the others rather than deal twice: whoever was
+        // first back once had every pool, and hundreds of workers, for the rest of the day.
         let everyone = self.cfg.peers.len() < self.mirror.nodes.len();
-        if !everyone && self.mirror.pools.is_empty() && self.now.since(since) < 1500 {
+        let new = self.started.is_some_and(|s| self.now.since(s) < JUST_STARTED_MS);
+        if !everyone && (self.mirror.pools.is_empty() || new) && self.now.since(since) < 1500 {
             return;
         }
         let pools = self.fleet.pools();
@@ -95,10 +99,15 @@
         orphans.sort_by(|a, b| weight(b).total_cmp(&weight(a)).then(a.cmp(b)));
         let average = pools.iter().map(&weight).sum::<f64>() / held.len() as f64;
         for pool in orphans {
-            let home = self
-                .home_of(&pool.zone)
-                .filter(|n| held.get(n).is_some_and(|h| *h + weight(&pool) <= average * 1.3 + 1.0));
-            let to = home
+            let light = |n: &NodeId, most: f64| {
+                held.get(n).is_some_and(|h| *h + weight(&pool) <= average * most + 1.0)
+            };
+            // A former owner that is back after a restart: its workers are looking for it, and
+            // hundreds of them moving elsewhere cost both nodes seconds of processor time.
+            let former = self.mirror.pools.get(&pool).map(|h| h.owner.clone());
+            let to = former
+                .filter(|n| light(n, 2.0))
+                .or_else(|| self.home_of(&pool.zone).filter(|n| light(n, 1.3)))
                 .or_else(|| held.iter().min_by(|a, b| a.1.total_cmp(b.1)).map(|(n, _)| n.clone()));
             if let Some(to) = to {
                 *held.entry(to.clone()).or_default() += weight(&pool);
@@ -107,6 +116,15 @@
         }
         if moves.is_empty() {
             moves.extend(self.balance(&pools, &held, &weight));
+            // One node with nearly all is worth more than one move at a time.
+            if let Some((pool, to)) = moves.first().cloned() {
+                if let Some(h) = self.mirror.pools.get(&pool) {
+                    *held.entry(h.owner.clone()).or_default() -= weight(&pool);
+                    *held.entry(to).or_default() += weight(&pool);
+                }
+                let rest: Vec<PoolId> = pools.iter().filter(|p| **p != pool).cloned().collect();
+                moves.extend(self.balance(&rest, &held, &weight));
+            }
         }
         moves.truncate(self.cfg.txn_ops);
         self.send_deal(moves);
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -145,7 +145,8 @@
     pub(crate) list_acc: Vec<cleatfold_wire::cloud::ListedMachine>,
     pub(crate) owned_since: BTreeMap<PoolId, (Token, Ms)>,
     pub(crate) held: BTreeMap<MachineId, crate::workers::Held>,
-    pub(crate) strays: BTreeMap<MachineId, VecDeque<Ms>>,
+    pub(crate) strays: BTreeMap<MachineId, (Option<PoolId>, VecDeque<Ms>)>,
+    pub(crate) started: Option<Ms>,
     pub(crate) last_tick: Ms,
     pub(crate) watched: Ms,
 
@@ -216,6 +217,7 @@
             owned_since: BTreeMap::new(),
             held: BTreeMap::new(),
             strays: BTreeMap::new(),
+            started: None,
             last_tick: Ms(0),
             watched: Ms(0),
             peers,
@@ -238,6 +240,7 @@
     /// Handles one event; returns what is to be done.
     pub fn handle(&mut self, now: Ms, wall_ms: u64, event: Event) -> Vec<Effect> {
         self.now = now.max(self.now);
+        self.started.get_or_insert(self.now);
         self.wall_ms = wall_ms;
         match event {
             Event::Tick => self.tick(),
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -6,6 +6,7 @@
 //! in `leader.rs` (deletion): an exit; absence from a report whose worker had seen our token;
 //! a lease that has provably run out; deletion or failure of the machine.
 
+use crate::config::Config;
 use crate::effects::*;
 use crate::fleet::{LastReport, Machine};
 use crate::jobs::End;
@@ -13,7 +14,7 @@
 use cleatfold_wire::cloud::MachineState;
 use cleatfold_wire::worker::{Command, Exit, Report, ReportReply, TaskState};
 use cleatfold_wire::*;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 /// A report whose answer waits a moment for a command.
 #[derive(Debug)]
@@ -149,22 +150,40 @@
             _ => None,
         };
         if let Some(owner) = &owner {
-            let now = self.now;
-            let times = self.strays.entry(machine.clone()).or_default();
-            times.push_back(now);
-            while times.front().is_some_and(|t| now.since(*t) > STRAY_WINDOW_MS) {
-                times.pop_front();
-            }
-            let live = self.mirror.nodes.contains_key(owner);
-            // Once may be a hand-over. Again means that it cannot get through to its owner.
-            if times.len() >= 2 && now.since(times[0]) > 1200 {
-                tracing::info!(machine = %machine, pool = %pool, owner = %owner, live, "stray worker");
+            if self.is_astray(machine, pool) {
+                let live = self.mirror.nodes.contains_key(owner);
+                tracing::info!(machine = %machine, pool = %pool, owner = %owner, live, "stray workers");
                 self.take_over(pool.clone());
             }
         }
         self.reply(rid, Response::Redirect(owner));
     }
 
+    /// Notes that a worker of a pool came here in vain. True if the pool should come after it.
+    /// Once may be a hand-over; again means that it cannot get through to its owner. Some of a
+    /// large pool can't for a moment whenever its owner is busy, and a move costs all of them
+    /// a change of node: the pool moves when a fair part of it has come.
+    fn is_astray(&mut self, machine: &MachineId, pool: &PoolId) -> bool {
+        let now = self.now;
+        let again = |times: &VecDeque<Ms>| {
+            let fresh: Vec<&Ms> =
+                times.iter().filter(|t| now.since(**t) <= STRAY_WINDOW_MS).collect();
+            fresh.len() >= 2 && now.since(*fresh[0]) > 1200
+        };
+        let (of, times) = self.strays.entry(machine.clone()).or_default();
+        *of = Some(pool.clone());
+        times.push_back(now);
+        while times.front().is_some_and(|t| now.since(*t) > STRAY_WINDOW_MS) {
+            times.pop_front();
+        }
+        if !again(times) {
+            return false;
+        }
+        let came = self.strays.values().filter(|s| s.0.as_ref() == Some(pool) && again(&s.1));
+        let machines = self.fleet.machines.values().filter(|m| m.pool == *pool).count();
+        came.count() >= Config::strays_that_move(machines)
+    }
+
     fn take_report(&mut self, pool: &PoolId, token: Token, report: Report) -> Vec<Command> {
         let now = self.now;
         let id = report.machine.clone();
