Plan with a task's room as soon as its end is proven

An end that is proven frees the machine whether recorded or not, so the chart and the holding of reports leave it out; limits still count it until it is durable.

--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -131,6 +131,13 @@
         }
     }
 
+    /// A claim whose end is proven and waits to be recorded: the task is on no machine any more.
+    pub(crate) fn is_ending(&self, job: &JobId, ix: TaskIx, attempt: Attempt) -> bool {
+        self.locals
+            .get(job)
+            .is_some_and(|l| l.ends.iter().any(|e| e.ix == ix && e.attempt == attempt))
+    }
+
     pub(crate) fn end(&mut self, job: &JobId, end: End) {
         self.note_unsent(job);
         let local = self.local(job);
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -174,10 +174,15 @@
             let price = if m.spot { kind.spot_price } else { kind.price };
             chart.cost = (price / kind.cpus.max(0.001) * 1e6) as u64;
             chart.images = m.images.iter().map(|(image, _)| (image.clone(), now)).collect();
-            for ((job, ix), _) in self.mirror.claims.get(id).into_iter().flatten() {
+            for ((job, ix), claim) in self.mirror.claims.get(id).into_iter().flatten() {
                 let Some(live) = self.mirror.jobs.get(job) else {
                     continue;
                 };
+                // Its room is free though its end is not recorded yet. (Waiting for the record
+                // left every place empty for seconds when changes run short.)
+                if self.is_ending(job, *ix, claim.attempt) {
+                    continue;
+                }
                 let end = self.expected_end(m, job, *ix, live);
                 chart.carve(now, end, live.each);
                 let image = &live.record.spec.image;
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -89,8 +89,9 @@
             .claims
             .get(id)
             .into_iter()
-            .flat_map(|c| c.keys())
-            .filter_map(|(job, _)| self.mirror.jobs.get(job))
+            .flatten()
+            .filter(|((job, ix), claim)| !self.is_ending(job, *ix, claim.attempt))
+            .filter_map(|((job, _), _)| self.mirror.jobs.get(job))
             .map(|live| live.each.cpus)
             .sum();
         let share = match used * 4 {
@@ -272,11 +273,7 @@
                 continue;
             }
             let over = self.is_over(&job);
-            let ending = self
-                .locals
-                .get(&job)
-                .is_some_and(|l| l.ends.iter().any(|e| e.ix == ix && e.attempt == claim.attempt));
-            if ending {
+            if self.is_ending(&job, ix, claim.attempt) {
                 // Its exit was seen and is being recorded: it must not start again.
                 continue;
             }
