--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -86,7 +86,9 @@
     };
     let done = local.ends.iter().filter(|e| e.done).count() as u32;
     let starts: u32 = local.wishes.iter().map(|w| w.tasks).sum();
-    let mut n = local.ends.len() as u64 + u64::from(starts);
+    // An end holds nothing up: its room is planned with already. It can wait for others of its
+    // job; a start cannot.
+    let mut n = local.ends.len() as u64 + 4 * u64::from(starts);
     if live.done + done >= live.record.spec.tasks {
         // Its user waits for just this.
         n *= 4;
