A pool just dealt does not move after strays; the cheaper of equal machines is taken

Now a pool stays for 5 s after its token was first seen. Also: the documented choice of the cheaper of two machines that finish within a second was never made; it is now.

--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -132,6 +132,8 @@
     pub(crate) dealing: Option<u64>,
     pub(crate) deal_settled: Ms,
     pub(crate) dealt: BTreeMap<PoolId, Ms>,
+    /// Under which token each pool was last seen, and since when.
+    pub(crate) tokens_seen: BTreeMap<PoolId, (Token, Ms)>,
 
     pub(crate) locals: BTreeMap<JobId, Local>,
     pub(crate) submissions: VecDeque<Submission>,
@@ -209,6 +211,7 @@
             dealing: None,
             deal_settled: Ms(0),
             dealt: BTreeMap::new(),
+            tokens_seen: BTreeMap::new(),
             locals: BTreeMap::new(),
             submissions: VecDeque::new(),
             submit_inflight: false,
@@ -507,6 +510,12 @@
 
     /// Sees which pools came to us since, and under which token.
     fn note_ownership(&mut self) {
+        for (pool, holding) in &self.mirror.pools {
+            let seen = self.tokens_seen.entry(pool.clone()).or_default();
+            if seen.0 != holding.token {
+                *seen = (holding.token, self.now);
+            }
+        }
         let mine: Vec<(PoolId, Token)> = self
             .mirror
             .pools
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -27,6 +27,8 @@
 
 /// How a worker that cannot reach its owner shows: it comes to us again and again.
 const STRAY_WINDOW_MS: u64 = 15_000;
+/// What a worker needs to find a pool's new owner: an answer that does not come, and a pause.
+const UNDERWAY_MS: u64 = 5000;
 
 impl Node {
     pub(crate) fn on_report(&mut self, rid: u64, report: Report) {
@@ -166,6 +168,10 @@
     /// that, and only workers that stay astray beyond it (the owner lives, behind a cut) count.
     fn is_astray(&mut self, machine: &MachineId, pool: &PoolId, owner: &NodeId) -> bool {
         let now = self.now;
+        // Its workers are still on their way to an owner that has only just got the pool.
+        if self.tokens_seen.get(pool).is_some_and(|s| now.since(s.1) < UNDERWAY_MS) {
+            return false;
+        }
         let heard = self.peers.get(owner).and_then(|p| p.heard);
         let patience = match heard {
             Some(at) if now.since(at) < 2500 => 1200,
--- a/crates/cleatfold-plan/src/chart.rs
+++ b/crates/cleatfold-plan/src/chart.rs
@@ -231,7 +231,10 @@
                 .iter()
                 .enumerate()
                 .filter_map(|(i, c)| c.map(|(start, finish, _)| (i, start, finish)))
-                .min_by_key(|&(i, start, finish)| (finish, start, machines[i].free_at_first(), i));
+                .min_by_key(|&(i, start, finish)| {
+                    let m = &machines[i];
+                    (finish.0 / 1000, m.cost, finish, start, m.free_at_first(), i)
+                });
             let Some((i, start, finish)) = best else {
                 break;
             };
