--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -79,6 +79,15 @@
     Ended(ArchiveRecord),
 }
 
+/// Ends leave the last changes to starts, but not for ever.
+const ENDS_WAIT_MS: u64 = 6000;
+
+/// Nothing but ends of a job that goes on: nobody waits for them to be recorded.
+fn only_ends(local: &Local, live: &crate::mirror::Live) -> bool {
+    let done = local.ends.iter().filter(|e| e.done).count() as u32;
+    !local.abort && local.wishes.is_empty() && live.done + done < live.record.spec.tasks
+}
+
 /// What recording the news of a job now is worth, in task-milliseconds of waiting.
 fn weight(local: &Local, live: Option<&crate::mirror::Live>, waited: u64) -> u64 {
     let Some(live) = live.filter(|_| !local.abort) else {
@@ -178,6 +187,7 @@
     /// starves.
     fn weightiest(&mut self) -> Option<JobId> {
         let (locals, mirror, now) = (&mut self.locals, &self.mirror, self.now);
+        let ample = self.pace.ample();
         let mut best: Option<(u64, &JobId)> = None;
         self.unsent.retain(|id| {
             locals
@@ -190,7 +200,14 @@
                 continue;
             }
             let since = *local.unsent_since.get_or_insert(now);
-            let weight = weight(local, mirror.jobs.get(id), now.since(since));
+            let live = mirror.jobs.get(id);
+            if !ample
+                && now.since(since) < ENDS_WAIT_MS
+                && live.is_some_and(|l| only_ends(local, l))
+            {
+                continue;
+            }
+            let weight = weight(local, live, now.since(since));
             if best.is_none_or(|b| weight > b.0) {
                 best = Some((weight, id));
             }
--- a/crates/cleatfold-control/src/pace.rs
+++ b/crates/cleatfold-control/src/pace.rs
@@ -36,6 +36,12 @@
         (1000.0 / self.rate.max(0.1)) as u64
     }
 
+    /// There is more than starts and submissions may need in the next moment, so that what can
+    /// wait need not. Without this every start queued behind ends.
+    pub fn ample(&self) -> bool {
+        self.level >= (self.rate / 2.0).max(1.0)
+    }
+
     pub fn spend(&mut self, changes: usize) {
         self.level -= changes as f64;
     }
