Pools at home where they fit; silent machines kept for a round of the nodes

Leases are now checked apart from giving up, so tasks are not kept longer than the proof allows. A machine's loss is told once instead of five times a second until recorded.

--- a/crates/cleatfold-control/src/config.rs
+++ b/crates/cleatfold-control/src/config.rs
@@ -70,10 +70,12 @@
     }
 
     /// A machine silent for so long is given up and deleted, which proves it gone. Two reports
-    /// and the worker's way to another node must have failed; and where the lease is short, it
-    /// is left to run out, for a worker that only lost its node keeps its tasks until then.
+    /// must have failed, and a worker that lost its node have had the time to try every other
+    /// one: an answer that does not come costs it 4 s, the pause before the next node 1 s. (After
+    /// six seconds an owner once deleted a pool whose workers were still looking for it.)
     pub fn given_up_ms(&self) -> u64 {
-        (self.report_ms * 5 / 2 + 4000).max(self.lease_ms.min(12_000))
+        let round = 5000 * (self.peers.len() as u64 + 1);
+        (self.report_ms * 5 / 2 + 4000).max(round)
     }
 
     /// How many of a pool's workers must come astray before the pool moves after them.
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -99,8 +99,9 @@
         orphans.sort_by(|a, b| weight(b).total_cmp(&weight(a)).then(a.cmp(b)));
         let average = pools.iter().map(&weight).sum::<f64>() / held.len() as f64;
         for pool in orphans {
+            // One pool, however large, has to be with someone.
             let light = |n: &NodeId, most: f64| {
-                held.get(n).is_some_and(|h| *h + weight(&pool) <= average * most + 1.0)
+                held.get(n).is_some_and(|h| *h == 0.0 || *h + weight(&pool) <= average * most + 1.0)
             };
             // A former owner that is back after a restart: its workers are looking for it, and
             // hundreds of them moving elsewhere cost both nodes seconds of processor time.
@@ -589,6 +590,7 @@
         self.adopt_claimed_machines();
         let now = self.now;
         let silent_limit = self.cfg.given_up_ms();
+        let quiet_limit = self.silent_ms();
         let mut silent: Vec<(MachineId, ZoneId, u64)> = Vec::new();
         // Per zone: how many of our machines are silent, and how many report.
         let mut zones: BTreeMap<ZoneId, (usize, usize)> = BTreeMap::new();
@@ -641,7 +643,7 @@
                 heard => {
                     let base = heard.unwrap_or(m.known).max(m.known).max(since);
                     let quiet = now.since(base);
-                    if quiet > silent_limit {
+                    if quiet > quiet_limit {
                         // Its own lease: the last answer it can have had came from us, under
                         // the token it has seen, so nobody else can have renewed it.
                         let lease = self.cfg.lease_ms + self.cfg.lease_ms / 500 + 500;
@@ -652,6 +654,8 @@
                             m.expired = true;
                             expired.push((id.clone(), m.pool.clone(), token));
                         }
+                    }
+                    if quiet > silent_limit {
                         zones.entry(m.pool.zone.clone()).or_default().0 += 1;
                         silent.push((id, m.pool.zone.clone(), quiet));
                         turned_silent = true;
@@ -725,19 +729,24 @@
         if unknown.is_empty() {
             return;
         }
-        let mut found: Vec<(MachineId, PoolId)> = Vec::new();
+        let mut found: BTreeMap<MachineId, PoolId> = BTreeMap::new();
         for id in self.mirror.jobs.keys() {
             for group in self.mirror.tables(id).flat_map(|t| &t.claims) {
                 if unknown.contains(&group.machine) {
                     if let Some(pool) = PoolId::parse(&group.pool) {
-                        found.push((group.machine.clone(), pool));
+                        found.insert(group.machine.clone(), pool);
                     }
                 }
             }
         }
         for (id, pool) in found {
             if self.fleet.is_deleted(&id) {
-                self.on_machine_gone(&id, "machine deleted", None);
+                // Until the ends are recorded its claims stand; they are told of once.
+                let claims = self.mirror.claims.get(&id).into_iter().flatten();
+                let mut news = claims.map(|((job, ix), c)| self.is_ending(job, *ix, c.attempt));
+                if news.any(|ending| !ending) {
+                    self.on_machine_gone(&id, "machine deleted", None);
+                }
             } else {
                 let now = self.now;
                 self.fleet.machines.entry(id).or_insert_with(|| Machine::new(pool, false, now));
