--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -82,10 +82,19 @@
 /// Ends leave the last changes to starts, but not for ever.
 const ENDS_WAIT_MS: u64 = 6000;
 
-/// Nothing but ends of a job that goes on: nobody waits for them to be recorded.
-fn only_ends(local: &Local, live: &crate::mirror::Live) -> bool {
-    let done = local.ends.iter().filter(|e| e.done).count() as u32;
-    !local.abort && local.wishes.is_empty() && live.done + done < live.record.spec.tasks
+fn done_ends(local: &Local) -> u32 {
+    local.ends.iter().filter(|e| e.done).count() as u32
+}
+
+/// Nothing but completed tasks of a job that goes on: nobody waits for them to be recorded. The
+/// end of a lost task is another matter, for it can start again only after that. (Counted as one
+/// end among many, it waited a minute to be recorded when changes ran short.)
+fn can_wait(local: &Local, live: &crate::mirror::Live) -> bool {
+    let done = done_ends(local);
+    !local.abort
+        && local.wishes.is_empty()
+        && done as usize == local.ends.len()
+        && live.done + done < live.record.spec.tasks
 }
 
 /// What recording the news of a job now is worth, in task-milliseconds of waiting.
@@ -93,11 +102,12 @@
     let Some(live) = live.filter(|_| !local.abort) else {
         return u64::MAX;
     };
-    let done = local.ends.iter().filter(|e| e.done).count() as u32;
+    let done = done_ends(local);
+    let lost = local.ends.len() as u64 - u64::from(done);
     let starts: u32 = local.wishes.iter().map(|w| w.tasks).sum();
-    // An end holds nothing up: its room is planned with already. It can wait for others of its
-    // job; a start cannot.
-    let mut n = local.ends.len() as u64 + 4 * u64::from(starts);
+    // A completed task holds nothing up: its room is planned with already. It can wait for
+    // others of its job; a start cannot, nor can what must be started again.
+    let mut n = u64::from(done) + 4 * u64::from(starts) + 8 * lost;
     if live.done + done >= live.record.spec.tasks {
         // Its user waits for just this.
         n *= 4;
@@ -201,9 +211,7 @@
             }
             let since = *local.unsent_since.get_or_insert(now);
             let live = mirror.jobs.get(id);
-            if !ample
-                && now.since(since) < ENDS_WAIT_MS
-                && live.is_some_and(|l| only_ends(local, l))
+            if !ample && now.since(since) < ENDS_WAIT_MS && live.is_some_and(|l| can_wait(local, l))
             {
                 continue;
             }
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -697,6 +697,11 @@
     }
 
     fn delete(&mut self, ids: Vec<MachineId>) {
+        // One call at a time, up to a hundred machines each: a call a machine kept the cloud's
+        // rate busy for a minute after a wave of losses, and proofs came late.
+        if self.ops.values().any(|p| matches!(p, Pending::Delete { .. })) {
+            return;
+        }
         let mut batch = Vec::new();
         for id in ids {
             let promised = self.locals.values().any(|l| l.wishes.iter().any(|w| w.machine == id))
