--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -101,7 +101,7 @@
             u if u < total * 3 => 40,
             _ => 0,
         };
-        (self.cfg.report_ms * share / 100).min(3000)
+        (self.cfg.report_ms * share / 100).min(2000)
     }
 
     /// Answers held reports whose time is up, or whose machine got a claim.
