--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -602,3 +602,66 @@
         self.claims.iter().any(|(wish, _)| wish.machine == *machine)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::mirror::Live;
+    use cleatfold_wire::job::JobSpec;
+
+    fn live(tasks: u32) -> Live {
+        let spec = JobSpec {
+            id: JobId::new("run-000001"),
+            class: ClassId::new("class"),
+            team: TeamId::new("team"),
+            kind: Kind::Array,
+            urgency: Urgency::Normal,
+            tasks,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: ImageId::new("image"),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate_s: 10.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        };
+        let record = JobRecord::new(spec, 0);
+        let each = record.each();
+        Live { record, version: Version(1), each, done: 0, claimed: tasks }
+    }
+
+    fn ends(done: u32, lost: u32) -> Local {
+        let machine = MachineId::new("vm-000001");
+        let end = |ix, done| End {
+            machine: machine.clone(),
+            ix: TaskIx(ix),
+            attempt: Attempt(1),
+            done,
+            why: "",
+            fence: None,
+        };
+        let ends = (0..done + lost).map(|i| end(i, i < done)).collect();
+        Local { ends, ..Local::default() }
+    }
+
+    /// The end of a lost task once waited a minute behind gathered completed ones, and with it
+    /// the task's next start.
+    #[test]
+    fn a_lost_task_does_not_wait_behind_completed_ones() {
+        let job = live(40);
+        assert!(can_wait(&ends(7, 0), &job));
+        assert!(!can_wait(&ends(7, 1), &job));
+        assert!(!can_wait(&ends(40, 0), &job), "the last one makes the job done");
+        let lost = weight(&ends(0, 1), Some(&job), 0);
+        assert!(lost > weight(&ends(7, 0), Some(&job), 0));
+        // But nothing starves: what has waited long goes before what is new.
+        assert!(weight(&ends(1, 0), Some(&job), 6000) > lost);
+    }
+}
--- a/crates/cleatfold-control/tests/world.rs
+++ b/crates/cleatfold-control/tests/world.rs
@@ -1013,3 +1013,36 @@
     let total: usize = world.changes.iter().map(|c| c.1).sum();
     assert!(total as u32 * 2 < world.started * 3, "{total} changes for {} starts", world.started);
 }
+
+/// A node that is back before its lease has run out keeps its pools, under new tokens: hundreds
+/// of workers moving to another node and back cost every node seconds of processor time.
+#[test]
+fn a_restarted_node_gets_its_pools_back() {
+    let owners = |world: &World| -> BTreeMap<String, (NodeId, Version)> {
+        let read = |v: &str| serde_json::from_str::<records::PoolRecord>(v).expect("a pool");
+        let pools = world.store.list("cf/pool/", None, 99).items;
+        pools.iter().map(|i| (i.key.clone(), (read(i.value.get()).owner, i.version))).collect()
+    };
+    let mut world = World::new(7, false);
+    let stop = |world: &mut World, node: usize, back_ms: u64| {
+        world.nodes[node] = None;
+        world.lives[node] += 1;
+        world.at(back_ms, Happens::Restart(node));
+    };
+    // First some pool has to be away from the node of its zone, where any leader would put it.
+    world.run(Ms(30_000));
+    stop(&mut world, 0, 8000);
+    world.run(Ms(39_500));
+    let before = owners(&world);
+    let away = before.iter().find(|(p, o)| p.ends_with("/a") && o.0 != node_id(0));
+    let owner = &away.expect("a pool moved").1 .0;
+    let node = (0..NODES).find(|i| node_id(*i) == *owner).expect("a node");
+    stop(&mut world, node, 1500);
+    world.run(Ms(43_000));
+    for (pool, (owner, token)) in owners(&world) {
+        let (old_owner, old_token) = &before[&pool];
+        assert_eq!(owner, *old_owner, "{pool}");
+        assert_eq!(token > *old_token, owner == node_id(node), "{pool}");
+    }
+    assert!(world.broken.is_empty(), "{:#?}", world.broken);
+}
