Submissions owe the jobs only what went ahead of one that waited

Read through: what submissions were ahead was counted also while no job waited, and could have held up later submissions for as many changes.

--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -181,8 +181,10 @@
             // Submissions first, but a flood of them leaves the jobs every other change.
             if self.ahead == 0 || due.is_none() {
                 let sent = self.flush_submissions();
-                self.ahead += sent;
                 if sent > 0 {
+                    // Only what went ahead of a job that waited is owed to the jobs. (Counted
+                    // while none waited, a busy hour's submissions would have held up later ones.)
+                    self.ahead += if due.is_some() { sent } else { 0 };
                     continue;
                 }
             }
