--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -80,7 +80,7 @@
 }
 
 /// Ends leave the last changes to starts, but not for ever.
-const ENDS_WAIT_MS: u64 = 6000;
+const ENDS_WAIT_MS: u64 = 30_000;
 
 fn done_ends(local: &Local) -> u32 {
     local.ends.iter().filter(|e| e.done).count() as u32
@@ -200,7 +200,7 @@
     fn weightiest(&mut self) -> Option<JobId> {
         let (locals, mirror, now) = (&mut self.locals, &self.mirror, self.now);
         let ample = self.pace.ample();
-        let mut best: Option<(u64, &JobId)> = None;
+        let mut best: Option<((bool, u64), &JobId)> = None;
         self.unsent.retain(|id| {
             locals
                 .get(id)
@@ -213,11 +213,12 @@
             }
             let since = *local.unsent_since.get_or_insert(now);
             let live = mirror.jobs.get(id);
-            if !ample && now.since(since) < ENDS_WAIT_MS && live.is_some_and(|l| can_wait(local, l))
-            {
+            let pressing =
+                now.since(since) >= ENDS_WAIT_MS || !live.is_some_and(|l| can_wait(local, l));
+            if !ample && !pressing {
                 continue;
             }
-            let weight = weight(local, live, now.since(since));
+            let weight = (pressing, weight(local, live, now.since(since)));
             if best.is_none_or(|b| weight > b.0) {
                 best = Some((weight, id));
             }
