--- a/crates/cleatfold/src/settings.rs
+++ b/crates/cleatfold/src/settings.rs
@@ -226,9 +226,10 @@
             list_lag_ms: ms(c.cloud.list_lag_s.max(0.0)),
             k: 3,
             sync_ms: 250,
-            // A node that restarts within its lease keeps its pools. Where workers' leases are
-            // long, nobody loses anything by waiting a little longer for it.
-            node_ttl_ms: (ms(c.workers.lease_s) / 6).clamp(3000, 7000),
+            // A node that restarts within its lease keeps its pools. Where workers report seldom
+            // little is lost by waiting a moment longer for it: whoever took its pools over could
+            // start nothing before their next reports.
+            node_ttl_ms: (ms(c.workers.report_s) * 7 / 8).clamp(3000, 7000),
             aims: c.objectives.iter().filter_map(Objective::aim).collect(),
             usual_wait_s: 30.0,
             // Where no team has a guarantee or a limit, nobody accounts for capacity and speed
