--- /dev/null
+++ b/crates/cleatfold-control/src/archive.rs
@@ -0,0 +1,78 @@
+//! Questions to the archive of ended jobs.
+//!
+//! A poll for an ended job that this node does not know of needs a request of its own to the
+//! state service, behind everything else. Each poll once sent one. When requests ran short they
+//! came so late that every asker had left, and asked again: the queue only grew, a fleet with
+//! two thirds of its processors idle told a fifth of its finished jobs as done, and it stayed
+//! so after the load was over. So there is one question a job at a time, its askers are
+//! answered in time whatever comes of it, and their number is bounded; and what others ended is
+//! read for all jobs at once (`follow`), so that hardly anybody has to ask.
+
+use crate::node::Waiting;
+use cleatfold_wire::*;
+use std::collections::BTreeMap;
+
+/// Questions under way at one time.
+const MOST: usize = 128;
+
+#[derive(Default)]
+pub(crate) struct Lookups {
+    /// By job: when its question was sent, and who waits for the answer.
+    asked: BTreeMap<JobId, (Ms, Vec<Waiting>)>,
+    /// Ends up to this revision have been read.
+    pub read_to: Version,
+    pub following: bool,
+    /// Jobs have gone since whose end we have not read.
+    pub stale: bool,
+}
+
+pub(crate) enum Joined {
+    /// The caller sends the question.
+    Ask,
+    UnderWay,
+    /// Too many are under way.
+    Full(Vec<Waiting>),
+}
+
+impl Lookups {
+    pub fn join(&mut self, job: &JobId, waiting: Vec<Waiting>, now: Ms) -> Joined {
+        if let Some((_, known)) = self.asked.get_mut(job) {
+            known.extend(waiting);
+            return Joined::UnderWay;
+        }
+        if self.asked.len() >= MOST {
+            return Joined::Full(waiting);
+        }
+        self.asked.insert(job.clone(), (now, waiting));
+        Joined::Ask
+    }
+
+    /// The answer is here: when its question was sent, and who waits for it.
+    pub fn leave(&mut self, job: &JobId) -> (Ms, Vec<Waiting>) {
+        self.asked.remove(job).unwrap_or_default()
+    }
+
+    /// Takes out whoever has waited too long.
+    pub fn give_up(&mut self, mut late: impl FnMut(&Waiting) -> bool) -> Vec<u64> {
+        let mut gone = Vec::new();
+        for (_, waiting) in self.asked.values_mut() {
+            waiting.retain(|w| {
+                let late = late(w);
+                if late {
+                    gone.push(w.rid);
+                }
+                !late
+            });
+        }
+        gone
+    }
+
+    /// Whether to read now how jobs ended; then that is under way.
+    pub fn follow(&mut self, applied: &Version) -> bool {
+        let due = self.stale && !self.following && self.read_to < *applied;
+        if due {
+            (self.stale, self.following) = (false, true);
+        }
+        due
+    }
+}
--- a/crates/cleatfold-control/src/effects.rs
+++ b/crates/cleatfold-control/src/effects.rs
@@ -5,7 +5,7 @@
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::steps::{StepReply, StepReport};
 use cleatfold_wire::store::{Events, Item, Page, Txn};
-use cleatfold_wire::worker::{Orders, Report, ReportReply};
+use cleatfold_wire::worker::{Orders, RawReport, Report, ReportReply};
 use cleatfold_wire::*;
 
 /// What a user asks.
@@ -28,7 +28,7 @@
     },
     Report {
         rid: u64,
-        report: Report,
+        report: RawReport,
     },
     Store {
         op: u64,
--- a/crates/cleatfold-control/src/fleet.rs
+++ b/crates/cleatfold-control/src/fleet.rs
@@ -2,8 +2,9 @@
 
 use cleatfold_plan::Resources;
 use cleatfold_wire::cloud::{MachineState, MachineType};
-use cleatfold_wire::worker::TaskReport;
+use cleatfold_wire::worker::{TaskReport, TaskState};
 use cleatfold_wire::*;
+use serde_json::value::RawValue;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Clone, Debug)]
@@ -14,6 +15,11 @@
     pub token: Token,
     pub at: Ms,
     pub tasks: Vec<TaskReport>,
+    /// The list of tasks as it came: the next report is compared with it before it is read.
+    pub text: Box<RawValue>,
+    /// It called for no command and told of nothing, while the machine's claims stood as this
+    /// stamp says. A report that says the same then needs no second look.
+    pub settled: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -79,6 +85,12 @@
         !self.draining && !self.deleting && self.notice.is_none()
     }
 
+    /// By its last report.
+    pub fn runs_something(&self) -> bool {
+        let listed = self.report.iter().flat_map(|r| &r.tasks);
+        listed.into_iter().any(|t| t.state != TaskState::Exited)
+    }
+
     pub fn heard(&self) -> Option<Ms> {
         self.report.as_ref().map(|r| r.at)
     }
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -71,6 +71,10 @@
 }
 
 impl Local {
+    pub(crate) fn is_ending(&self, ix: TaskIx, attempt: Attempt) -> bool {
+        self.ends.iter().any(|e| e.ix == ix && e.attempt == attempt)
+    }
+
     /// Something waits to be recorded.
     fn has_news(&self) -> bool {
         self.abort
@@ -182,9 +186,7 @@
 
     /// A claim whose end is proven and waits to be recorded: the task is on no machine any more.
     pub(crate) fn is_ending(&self, job: &JobId, ix: TaskIx, attempt: Attempt) -> bool {
-        self.locals
-            .get(job)
-            .is_some_and(|l| l.ends.iter().any(|e| e.ix == ix && e.attempt == attempt))
+        self.locals.get(job).is_some_and(|l| l.is_ending(ix, attempt))
     }
 
     pub(crate) fn end(&mut self, job: &JobId, end: End) {
@@ -254,6 +256,7 @@
 
     /// Something of the job waits to be recorded.
     pub(crate) fn note_unsent(&mut self, job: &JobId) {
+        self.flush_due = true;
         if !self.unsent.contains(job) {
             self.unsent.insert(job.clone());
         }
@@ -357,9 +360,8 @@
             if record.spec.spread {
                 for table in self.mirror.tables(job) {
                     for group in &table.claims {
-                        if let Some(pool) = PoolId::parse(&group.pool) {
-                            *by_zone.entry(pool.zone).or_default() += group.tasks.len() as u32;
-                        }
+                        *by_zone.entry(group.pool.zone.clone()).or_default() +=
+                            group.tasks.len() as u32;
                     }
                 }
             }
@@ -385,7 +387,7 @@
                     want = want.min(half.saturating_sub(*here));
                     *here += want;
                 }
-                let pool = wish.pool.to_string();
+                let pool = wish.pool.clone();
                 let mut made = Vec::new();
                 if record.in_parts() {
                     for part in 0..record.part_count() {
@@ -661,8 +663,8 @@
 
 impl JobTx {
     /// The claims this transaction would make: pool and number of tasks.
-    pub(crate) fn claimed(&self) -> impl Iterator<Item = (String, u32)> + '_ {
-        self.claims.iter().map(|(wish, tasks)| (wish.pool.to_string(), tasks.len() as u32))
+    pub(crate) fn claimed(&self) -> impl Iterator<Item = (PoolId, u32)> + '_ {
+        self.claims.iter().map(|(wish, tasks)| (wish.pool.clone(), tasks.len() as u32))
     }
 
     pub(crate) fn names(&self, machine: &MachineId) -> bool {
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -24,12 +24,22 @@
 /// A leader that started so lately is likely not the only one that did.
 const JUST_STARTED_MS: u64 = 5000;
 /// Looking at every machine costs by their number; nothing it finds is in a hurry.
-const WATCH_MS: u64 = 200;
+const WATCH_MS: u64 = 250;
+const DEAL_MS: u64 = 200;
 /// Rental requests under way at one time.
 const RENTS: usize = 4;
 /// Machines that one rental request may ask for, by the protocol.
 const RENT_COUNT: u32 = 50;
 
+/// A pool of ours, as its machines are watched by.
+struct OwnPool {
+    token: Token,
+    since: Ms,
+    boot_ms: u64,
+    /// Whether a waiting job may use its ordinary and its cheap machines.
+    useful: [bool; 2],
+}
+
 impl Node {
     fn is_leader(&self) -> bool {
         self.mirror.leader.as_ref().is_some_and(|(id, _)| *id == self.cfg.me)
@@ -56,7 +66,7 @@
         if self.in_contact() {
             self.deal(since);
         }
-        if self.now.since(self.assigned_at) >= 500 {
+        if self.now.since(self.assigned_at) >= 500 * self.stretch {
             self.assign();
             self.rent();
         }
@@ -75,6 +85,12 @@
         if self.dealing.is_some() || !read || self.mirror.nodes.is_empty() {
             return;
         }
+        // Every pool and every machine is looked at: at each tick this alone took a tenth of a
+        // leader's processor time in a large fleet.
+        if self.now.since(self.deal_looked) < DEAL_MS {
+            return;
+        }
+        self.deal_looked = self.now;
         // At a start of all, wait a little for the others rather than deal twice: whoever was
         // first back once had every pool, and hundreds of workers, for the rest of the day.
         let everyone = self.cfg.peers.len() < self.mirror.nodes.len();
@@ -217,10 +233,7 @@
         }
         for (id, live) in &self.mirror.jobs {
             for group in self.mirror.tables(id).flat_map(|t| &t.claims) {
-                let Some(&i) = PoolId::parse(&group.pool).as_ref().and_then(|p| index.get(p))
-                else {
-                    continue;
-                };
+                let Some(&i) = index.get(&group.pool) else { continue };
                 let spec = &live.record.spec;
                 loads[i].work += 0.5 * spec.estimate_s * spec.cpus * group.tasks.len() as f64;
             }
@@ -591,7 +604,7 @@
 
     pub(crate) fn watch_machines(&mut self) {
         // Cut off, we would take our own silence for the machines'. Others may hear them.
-        if !self.in_contact() || self.now.since(self.watched) < WATCH_MS {
+        if !self.in_contact() || self.now.since(self.watched) < WATCH_MS * self.stretch {
             return;
         }
         self.watched = self.now;
@@ -606,81 +619,76 @@
         let mut expired: Vec<(MachineId, PoolId, Token)> = Vec::new();
         let mut turned_silent = false;
         let idle_limit = (self.cfg.idle_return_s * 1000.0) as u64;
-        let mut wanted: BTreeMap<(PoolId, bool), bool> = BTreeMap::new();
-        for (pool, spot) in
-            self.owned_since.keys().flat_map(|p| [(p.clone(), false), (p.clone(), true)])
-        {
-            let any = self.mirror.jobs.values().any(|j| {
-                !j.record.aborted
-                    && j.unclaimed() > 0
-                    && (!spot || j.record.spec.spot)
-                    && self.may_use(j, &pool)
-            });
-            wanted.insert((pool, spot), any);
-        }
-        let own: Vec<MachineId> = self
-            .fleet
-            .machines
-            .iter()
-            .filter(|(_, m)| !m.deleting && self.owned_since.contains_key(&m.pool))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in own {
-            let idle = self.is_idle(&id);
-            let Some(m) = self.fleet.machines.get_mut(&id) else {
-                continue;
-            };
-            let Some(&(token, since)) = self.owned_since.get(&m.pool) else {
-                continue;
+        let mut pools: BTreeMap<PoolId, OwnPool> = BTreeMap::new();
+        for (pool, &(token, since)) in &self.owned_since {
+            let useful = |spot: bool| {
+                self.mirror.jobs.values().any(|j| {
+                    !j.record.aborted
+                        && j.unclaimed() > 0
+                        && (!spot || j.record.spec.spot)
+                        && self.may_use(j, pool)
+                })
             };
-            let boot_ms =
-                self.fleet.types.get(&m.pool.machine_type).map_or(60_000.0, |t| t.boot_s * 1000.0);
+            let kind = self.fleet.types.get(&pool.machine_type);
+            let boot_ms = kind.map_or(60_000.0, |t| t.boot_s * 1000.0) as u64;
+            let own = OwnPool { token, since, boot_ms, useful: [useful(false), useful(true)] };
+            pools.insert(pool.clone(), own);
+        }
+        let claims = &self.mirror.claims;
+        for (id, m) in &mut self.fleet.machines {
+            let Some(own) = pools.get(&m.pool).filter(|_| !m.deleting) else { continue };
             if m.listed == Some(MachineState::Failed) {
-                delete.push(id);
+                delete.push(id.clone());
                 continue;
             }
+            let claimed = claims.get(id).is_some_and(|c| !c.is_empty());
             match m.heard() {
-                None if !self.mirror.claims.contains_key(&id) => {
+                None if !claimed => {
                     // Booting, or never coming up.
                     let age = now.since(m.born);
-                    if age > (boot_ms * 4.0) as u64 + 30_000 && now.since(since) > 30_000 {
-                        delete.push(id);
+                    if age > own.boot_ms * 4 + 30_000 && now.since(own.since) > 30_000 {
+                        delete.push(id.clone());
                     }
                     continue;
                 }
                 heard => {
-                    let base = heard.unwrap_or(m.known).max(m.known).max(since);
+                    let base = heard.unwrap_or(m.known).max(m.known).max(own.since);
                     let quiet = now.since(base);
                     if quiet > quiet_limit {
                         // Its own lease: the last answer it can have had came from us, under
                         // the token it has seen, so nobody else can have renewed it.
                         let lease = self.cfg.lease_ms + self.cfg.lease_ms / 500 + 500;
-                        let seen = m.report.as_ref().is_some_and(|r| r.token == token);
-                        let answered =
-                            m.answered.is_some_and(|(at, t)| t == token && now.since(at) > lease);
+                        let seen = m.report.as_ref().is_some_and(|r| r.token == own.token);
+                        let answered = m
+                            .answered
+                            .is_some_and(|(at, t)| t == own.token && now.since(at) > lease);
                         if seen && answered && !m.expired {
                             m.expired = true;
-                            expired.push((id.clone(), m.pool.clone(), token));
+                            expired.push((id.clone(), m.pool.clone(), own.token));
                         }
                     }
+                    let zone = match zones.get_mut(&m.pool.zone) {
+                        Some(zone) => zone,
+                        None => zones.entry(m.pool.zone.clone()).or_default(),
+                    };
                     if quiet > silent_limit {
-                        zones.entry(m.pool.zone.clone()).or_default().0 += 1;
-                        silent.push((id, m.pool.zone.clone(), quiet));
+                        zone.0 += 1;
+                        silent.push((id.clone(), m.pool.zone.clone(), quiet));
                         turned_silent = true;
                         continue;
                     }
-                    zones.entry(m.pool.zone.clone()).or_default().1 += 1;
+                    zone.1 += 1;
                 }
             }
-            if !idle {
+            if claimed || m.runs_something() {
                 m.idle_since = None;
                 continue;
             }
             let idle_since = *m.idle_since.get_or_insert(now);
-            let useless = !wanted.get(&(m.pool.clone(), m.spot)).copied().unwrap_or(false);
+            let useless = !own.useful[usize::from(m.spot)];
             let unused = now.since(idle_since) > idle_limit && useless;
             if m.draining || unused {
-                delete.push(id);
+                delete.push(id.clone());
             }
         }
         // Many of one zone at once is a cut, or us: deleting them would make it worse. (Counted
@@ -746,9 +754,7 @@
         for id in self.mirror.jobs.keys() {
             for group in self.mirror.tables(id).flat_map(|t| &t.claims) {
                 if unknown.contains(&group.machine) {
-                    if let Some(pool) = PoolId::parse(&group.pool) {
-                        found.insert(group.machine.clone(), pool);
-                    }
+                    found.insert(group.machine.clone(), group.pool.clone());
                 }
             }
         }
@@ -806,18 +812,17 @@
             let mut new = record.clone();
             let mut txn = Txn::default();
             for (pool, token, capacity) in &own {
-                let name = pool.to_string();
                 let used =
-                    usage.get(&(team.name.clone(), name.clone())).copied().unwrap_or_default();
+                    usage.get(&(team.name.clone(), pool.clone())).copied().unwrap_or_default();
                 let asked =
-                    self.short.get(&(team.name.clone(), name.clone())).copied().unwrap_or_default();
-                let old = record.pools.get(&name).copied().unwrap_or_default();
+                    self.short.get(&(team.name.clone(), pool.clone())).copied().unwrap_or_default();
+                let old = record.pools.get(pool).copied().unwrap_or_default();
                 let part = (
                     resize(old.0, used.cpus, asked.cpus, capacity.cpus, &mut free.0, max.cpus),
                     resize(old.1, used.gpus, asked.gpus, capacity.gpus, &mut free.1, max.gpus),
                 );
                 if part != old {
-                    new.pools.insert(name, part);
+                    new.pools.insert(pool.clone(), part);
                     txn.guard(pool_key(pool), Version(token.0));
                 }
             }
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -3,6 +3,7 @@
 //! `Node` is one controller. Safety rests on the state service alone: every claim is one
 //! transaction guarded by the job's and the pool's version (see `docs/safety.md`).
 
+mod archive;
 pub mod config;
 pub mod effects;
 mod fleet;
--- a/crates/cleatfold-control/src/mirror.rs
+++ b/crates/cleatfold-control/src/mirror.rs
@@ -75,7 +75,36 @@
     pub token: Token,
 }
 
-pub type MachineClaims = BTreeMap<(JobId, TaskIx), Claim>;
+/// The claims on one machine.
+#[derive(Clone, Debug, Default)]
+pub struct MachineClaims {
+    tasks: BTreeMap<(JobId, TaskIx), Claim>,
+    /// Tells two states of them apart: the number of the mirror's last change to them.
+    pub stamp: u64,
+}
+
+impl std::ops::Deref for MachineClaims {
+    type Target = BTreeMap<(JobId, TaskIx), Claim>;
+    fn deref(&self) -> &Self::Target {
+        &self.tasks
+    }
+}
+
+impl IntoIterator for MachineClaims {
+    type Item = ((JobId, TaskIx), Claim);
+    type IntoIter = std::collections::btree_map::IntoIter<(JobId, TaskIx), Claim>;
+    fn into_iter(self) -> Self::IntoIter {
+        self.tasks.into_iter()
+    }
+}
+
+impl<'a> IntoIterator for &'a MachineClaims {
+    type Item = (&'a (JobId, TaskIx), &'a Claim);
+    type IntoIter = std::collections::btree_map::Iter<'a, (JobId, TaskIx), Claim>;
+    fn into_iter(self) -> Self::IntoIter {
+        self.tasks.iter()
+    }
+}
 
 #[derive(Debug, Default)]
 pub struct Mirror {
@@ -90,6 +119,9 @@
     pub slices: BTreeMap<TeamId, (Version, SliceRecord)>,
     /// All claims, by machine.
     pub claims: BTreeMap<MachineId, MachineClaims>,
+    stamps: u64,
+    /// Elastic jobs among the live ones.
+    elastic: usize,
     /// Versions of keys that are gone, newest last, against late news about them.
     removed: BTreeMap<String, Version>,
     removed_order: VecDeque<String>,
@@ -170,6 +202,7 @@
         match parsed {
             Key::Job(id) => {
                 if let Some(live) = self.jobs.remove(&id) {
+                    self.elastic -= usize::from(live.record.spec.elastic.is_some());
                     self.unindex(&id, &live.record.table);
                     self.gone.push(id);
                 }
@@ -217,8 +250,10 @@
 
     pub fn install_job(&mut self, id: JobId, record: JobRecord, version: Version) {
         if let Some(old) = self.jobs.remove(&id) {
+            self.elastic -= usize::from(old.record.spec.elastic.is_some());
             self.unindex(&id, &old.record.table);
         }
+        self.elastic += usize::from(record.spec.elastic.is_some());
         self.index(&id, &record.table);
         let each = record.each();
         let live = Live {
@@ -246,7 +281,7 @@
     }
 
     pub fn any_elastic(&self) -> bool {
-        self.jobs.values().any(|j| j.steps_left.is_some())
+        self.elastic > 0
     }
 
     /// All that is known of an elastic job's steps.
@@ -295,8 +330,10 @@
     fn index(&mut self, id: &JobId, table: &Table) {
         for group in &table.claims {
             let on = self.claims.entry(group.machine.clone()).or_default();
+            self.stamps += 1;
+            on.stamp = self.stamps;
             for (ix, attempt) in &group.tasks {
-                on.insert((id.clone(), *ix), Claim { attempt: *attempt, token: group.token });
+                on.tasks.insert((id.clone(), *ix), Claim { attempt: *attempt, token: group.token });
             }
         }
     }
@@ -304,8 +341,10 @@
     fn unindex(&mut self, id: &JobId, table: &Table) {
         for group in &table.claims {
             if let Some(on) = self.claims.get_mut(&group.machine) {
+                self.stamps += 1;
+                on.stamp = self.stamps;
                 for (ix, _) in &group.tasks {
-                    on.remove(&(id.clone(), *ix));
+                    on.tasks.remove(&(id.clone(), *ix));
                 }
                 if on.is_empty() {
                     self.claims.remove(&group.machine);
@@ -314,6 +353,11 @@
         }
     }
 
+    /// Changes whenever the claims on a machine do; 0: there are none.
+    pub fn claims_stamp(&self, machine: &MachineId) -> u64 {
+        self.claims.get(machine).map_or(0, |c| c.stamp)
+    }
+
     pub fn claim(&self, machine: &MachineId, task: &TaskId) -> Option<Claim> {
         self.claims.get(machine)?.get(&(task.job.clone(), task.ix)).copied()
     }
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -30,10 +30,12 @@
         batch: Vec<Submission>,
         txn: Txn,
     },
+    /// How one job ended, if it did.
     Archive {
         job: JobId,
-        waiting: Vec<Waiting>,
     },
+    /// How all jobs ended that did since the last such reading.
+    Ended,
     Grant {
         sent: Ms,
     },
@@ -67,6 +69,7 @@
 pub(crate) struct Submission {
     pub rid: u64,
     pub spec: Box<JobSpec>,
+    pub arrived: Ms,
 }
 
 /// A user request that waits for a reading of the state service.
@@ -102,6 +105,7 @@
     pub(crate) now: Ms,
     /// Time of day in milliseconds; orders the queue, decides nothing else.
     pub(crate) wall_ms: u64,
+    pub(crate) stretch: u64,
     pub(crate) out: Vec<Effect>,
     pub(crate) next_op: u64,
     pub(crate) ops: BTreeMap<u64, Pending>,
@@ -116,6 +120,8 @@
     pub(crate) sync_sent: Ms,
     pub(crate) want_sync: bool,
     pub(crate) pace: crate::pace::Pace,
+    /// Something may be due to be recorded.
+    pub(crate) flush_due: bool,
     /// Jobs that may have something to be recorded.
     pub(crate) unsent: BTreeSet<JobId>,
     /// Changes that submissions were ahead of the jobs' own.
@@ -133,6 +139,8 @@
     pub(crate) leading_asked: bool,
     pub(crate) leader_since: Option<Ms>,
     pub(crate) dealing: Option<u64>,
+    /// When the leader last looked whether pools have to be dealt.
+    pub(crate) deal_looked: Ms,
     pub(crate) deal_settled: Ms,
     pub(crate) dealt: BTreeMap<PoolId, Ms>,
     /// Under which token each pool was last seen, and since when.
@@ -143,6 +151,7 @@
     pub(crate) submit_inflight: bool,
     pub(crate) waiting: Vec<Waiting>,
     pub(crate) terminal: crate::requests::Terminal,
+    pub(crate) archive: crate::archive::Lookups,
 
     pub(crate) fleet: Fleet,
     pub(crate) types_at: Option<Ms>,
@@ -170,7 +179,7 @@
     pub(crate) slices_inflight: BTreeSet<TeamId>,
     pub(crate) slices_at: Ms,
     /// What the last planning could have started but for the pool's part of a team's limit.
-    pub(crate) short: BTreeMap<(TeamId, String), Resources>,
+    pub(crate) short: BTreeMap<(TeamId, PoolId), Resources>,
     pub(crate) cleanup_inflight: bool,
     /// Claims may stand that we have not read yet; no claim for a limited team until we have.
     pub(crate) limits_blind: Option<Ms>,
@@ -190,6 +199,7 @@
             cfg,
             now: Ms(0),
             wall_ms: 0,
+            stretch: 1,
             out: Vec::new(),
             next_op: 1,
             ops: BTreeMap::new(),
@@ -203,6 +213,7 @@
             sync_sent: Ms(0),
             want_sync: false,
             pace: Default::default(),
+            flush_due: false,
             unsent: BTreeSet::new(),
             ahead: 0,
             fresh: None,
@@ -215,6 +226,7 @@
             leading_asked: false,
             leader_since: None,
             dealing: None,
+            deal_looked: Ms(0),
             deal_settled: Ms(0),
             dealt: BTreeMap::new(),
             tokens_seen: BTreeMap::new(),
@@ -223,6 +235,7 @@
             submit_inflight: false,
             waiting: Vec::new(),
             terminal: Default::default(),
+            archive: Default::default(),
             fleet: Fleet::default(),
             types_at: None,
             types_asked: false,
@@ -254,11 +267,18 @@
         }
     }
 
+    /// Under pressure what costs much and is not urgent is done so many times less often.
+    pub fn set_stretch(&mut self, stretch: u64) {
+        self.stretch = stretch.max(1);
+    }
+
     /// Handles one event; returns what is to be done.
     pub fn handle(&mut self, now: Ms, wall_ms: u64, event: Event) -> Vec<Effect> {
         self.now = now.max(self.now);
         self.started.get_or_insert(self.now);
         self.wall_ms = wall_ms;
+        // Looking for what is due costs by the number of jobs; most events make nothing due.
+        self.flush_due |= matches!(event, Event::Tick | Event::Store { .. });
         match event {
             Event::Tick => self.tick(),
             Event::Request { rid, request } => self.on_request(rid, request),
@@ -268,7 +288,9 @@
             Event::Mesh { from, message } => self.on_mesh(from, message),
             Event::Ordered { machine, report } => self.on_ordered(machine, report),
         }
-        self.flush();
+        if std::mem::take(&mut self.flush_due) {
+            self.flush();
+        }
         std::mem::take(&mut self.out)
     }
 
@@ -367,7 +389,7 @@
         self.fresh.is_some_and(|f| self.now.since(f) < 2500 + self.cfg.sync_ms)
     }
 
-    pub(crate) fn is_ready(&self) -> bool {
+    pub fn is_ready(&self) -> bool {
         if !self.serving() {
             return false;
         }
@@ -469,6 +491,7 @@
             (true, Some(last)) => self.load_from = Some(last.key.clone()),
             _ => {
                 self.mirror.applied = self.load_base.unwrap_or_default();
+                self.archive.read_to = self.mirror.applied;
                 self.loaded = true;
                 // The pages are from different moments: only the next reading is complete.
                 self.want_sync = true;
@@ -511,8 +534,10 @@
 
     fn after_sync(&mut self, sent: Ms) {
         for job in std::mem::take(&mut self.mirror.gone) {
+            self.archive.stale |= self.terminal.get(&job).is_none();
             self.drop_local(&job);
         }
+        self.follow_archive();
         self.note_ownership();
         self.answer_waiting(sent);
         self.sync_if_due();
@@ -575,7 +600,8 @@
             Pending::Load { sent } => self.on_load(sent, reply),
             Pending::Job(tx) => self.on_job_tx(op, *tx, reply),
             Pending::Submit { batch, txn } => self.on_submitted(batch, txn, reply),
-            Pending::Archive { job, waiting } => self.on_archive(job, waiting, reply),
+            Pending::Archive { job } => self.on_archive(job, reply),
+            Pending::Ended => self.on_ended(reply),
             Pending::Grant { sent } => {
                 self.lease_asked = false;
                 if let StoreReply::Granted(lease) = reply {
--- a/crates/cleatfold-control/src/pace.rs
+++ b/crates/cleatfold-control/src/pace.rs
@@ -32,6 +32,11 @@
         self.level >= 1.0
     }
 
+    /// Changes a second that are ours.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
     pub fn ms_per_change(&self) -> u64 {
         (1000.0 / self.rate.max(0.1)) as u64
     }
--- a/crates/cleatfold-control/src/requests.rs
+++ b/crates/cleatfold-control/src/requests.rs
@@ -1,5 +1,6 @@
 //! What users ask: submissions, polls, cancellations.
 
+use crate::archive::Joined;
 use crate::effects::*;
 use crate::node::{Node, Pending, Submission, Wait, Waiting};
 use crate::records::*;
@@ -40,6 +41,11 @@
 const POLL_MS: u64 = 1700;
 const REQUEST_MS: u64 = 4000;
 
+/// After so long whoever submits has left, and asks again.
+const SUBMIT_MS: u64 = 4500;
+/// Submissions for more than so long are not kept waiting but sent away at once.
+const SUBMIT_QUEUE_S: f64 = 3.0;
+
 /// What a claim takes of a record, alone on its machine, with its share of the description.
 const CLAIM_BYTES: usize = 120;
 
@@ -102,10 +108,21 @@
             }
             !give_up
         });
-        if away {
-            late.extend(self.submissions.drain(..).map(|s| s.rid));
-        }
+        // Work whose asker has left is not done: he has asked again, most likely another node.
+        // (Both kept it, each batch met jobs that the other had accepted, and failed as a whole;
+        // so the more had asked again the fewer were accepted, for good.)
+        self.submissions.retain(|s| {
+            let give_up = away || now.since(s.arrived) > SUBMIT_MS;
+            if give_up {
+                late.push(s.rid);
+            }
+            !give_up
+        });
         late.extend(self.late_steps(away));
+        late.extend(self.archive.give_up(|w| {
+            let limit = if matches!(w.kind, Wait::Poll) { POLL_MS } else { REQUEST_MS };
+            now.since(w.arrived) > limit
+        }));
         for rid in late {
             self.reply(rid, Response::later("the state service does not answer"));
         }
@@ -131,8 +148,7 @@
             }
         }
         for (job, waiting) in unknown {
-            let request = StoreRequest::Get(archive_key(&job));
-            self.store(Lane::Poll, request, Pending::Archive { job, waiting });
+            self.look_up(job, waiting);
         }
     }
 
@@ -167,14 +183,29 @@
         self.reply(w.rid, Response::Status { code: 200, status });
     }
 
-    pub(crate) fn on_archive(&mut self, job: JobId, waiting: Vec<Waiting>, reply: StoreReply) {
+    /// Asks the archive about a job that is not among the live ones.
+    fn look_up(&mut self, job: JobId, waiting: Vec<Waiting>) {
+        match self.archive.join(&job, waiting, self.now) {
+            Joined::Ask => {
+                let request = StoreRequest::Get(archive_key(&job));
+                self.store(Lane::Poll, request, Pending::Archive { job });
+            }
+            Joined::UnderWay => {}
+            Joined::Full(waiting) => {
+                for w in waiting {
+                    self.reply(w.rid, Response::later("too many such questions"));
+                }
+            }
+        }
+    }
+
+    pub(crate) fn on_archive(&mut self, job: JobId, reply: StoreReply) {
+        let (sent, waiting) = self.archive.leave(&job);
         match reply {
             StoreReply::Item(item) => {
-                let Ok(archive) = serde_json::from_str::<ArchiveRecord>(item.value.get()) else {
-                    tracing::error!(job = %job, "unreadable archive record");
+                if !self.note_archived(&job, item.value.get()) {
                     return;
-                };
-                self.terminal.insert(job.clone(), archive);
+                }
                 for w in waiting {
                     if let Some(status) = self.terminal.get(&job) {
                         self.reply(w.rid, Response::Status { code: 200, status });
@@ -184,15 +215,20 @@
             StoreReply::Missing => {
                 for w in waiting {
                     // It may have been accepted since we looked: then it waits once more.
-                    if self.mirror.jobs.contains_key(&job) || self.terminal.get(&job).is_some() {
-                        self.wait(w.rid, job.clone(), w.kind);
+                    let later = w.arrived > sent;
+                    let known =
+                        self.mirror.jobs.contains_key(&job) || self.terminal.get(&job).is_some();
+                    if later || known {
+                        self.waiting.push(w);
                         continue;
                     }
                     match w.kind {
                         Wait::Impossible(why) => self.reply(w.rid, Response::refuse(422, why)),
-                        Wait::Known(spec) => {
-                            self.submissions.push_back(Submission { rid: w.rid, spec })
-                        }
+                        Wait::Known(spec) => self.submissions.push_back(Submission {
+                            rid: w.rid,
+                            spec,
+                            arrived: w.arrived,
+                        }),
                         _ => self.reply(w.rid, Response::refuse(404, "no such job")),
                     }
                 }
@@ -205,6 +241,47 @@
         }
     }
 
+    fn note_archived(&mut self, job: &JobId, record: &str) -> bool {
+        match serde_json::from_str::<ArchiveRecord>(record) {
+            Ok(archive) => self.terminal.insert(job.clone(), archive),
+            Err(error) => {
+                tracing::error!(job = %job, %error, "unreadable archive record");
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Jobs left the live records by others' hands: reads how they ended, all of them at once, so
+    /// that no poll has to ask for each.
+    pub(crate) fn follow_archive(&mut self) {
+        if !self.archive.follow(&self.mirror.applied) {
+            return;
+        }
+        let from = self.archive.read_to;
+        let request = StoreRequest::Changes { prefix: ARCHIVE.into(), from };
+        self.store(Lane::Poll, request, Pending::Ended);
+    }
+
+    pub(crate) fn on_ended(&mut self, reply: StoreReply) {
+        self.archive.following = false;
+        let StoreReply::Events(events) = reply else {
+            match reply {
+                // Too much has changed since: whoever asks is answered one by one.
+                StoreReply::TooOld => self.archive.read_to = self.mirror.applied,
+                _ => self.archive.stale = true,
+            }
+            return;
+        };
+        for event in &events.events {
+            let job = event.put.as_deref().and_then(|k| k.strip_prefix(ARCHIVE)).map(JobId::new);
+            if let (Some(job), Some(value)) = (job, &event.value) {
+                self.note_archived(&job, value.get());
+            }
+        }
+        self.archive.read_to = events.revision;
+    }
+
     // ---- submissions ----
 
     fn on_submit(&mut self, rid: u64, spec: Box<JobSpec>) {
@@ -221,7 +298,21 @@
         if self.store_away() {
             return self.reply(rid, Response::later("the state service does not answer"));
         }
-        self.submissions.push_back(Submission { rid, spec });
+        let wait_s = self.submissions.len() as f64 / self.submissions_per_s();
+        if wait_s > SUBMIT_QUEUE_S {
+            // Spread by the job, or all would be back together.
+            let spread = xxhash_rust::xxh3::xxh3_64(job.as_str().as_bytes()) % 4;
+            let why = "more is submitted than can be accepted now".to_string();
+            let retry_after_s = Some((wait_s as u32 + spread as u32).clamp(1, 15));
+            return self.reply(rid, Response::Refusal { code: 503, why, retry_after_s });
+        }
+        self.submissions.push_back(Submission { rid, spec, arrived: self.now });
+        self.flush_due = true;
+    }
+
+    /// What goes to submissions of our changes when jobs have use for the rest.
+    fn submissions_per_s(&self) -> f64 {
+        (self.pace.rate() / 2.0).max(1.0)
     }
 
     /// Why a job can never run here, if so.
@@ -264,17 +355,33 @@
         let mut batch: Vec<Submission> = Vec::new();
         let mut txn = Txn::default();
         let mut size = 0;
-        while let Some(next) = self.submissions.front() {
+        // Each costs a change whether alone or not, and one that is known already fails them all:
+        // no more at a time than half a second's worth.
+        let most = (self.submissions_per_s().ceil() as usize).clamp(2, self.cfg.txn_ops);
+        while batch.len() < most {
+            // Where the oldest will have left before their turn, the newest are served in time.
+            let pressed =
+                self.submissions.front().is_some_and(|s| self.now.since(s.arrived) > SUBMIT_MS / 2);
+            let next =
+                if pressed { self.submissions.pop_back() } else { self.submissions.pop_front() };
+            let Some(next) = next else { break };
             let job = next.spec.id.clone();
+            if let Some(status) = self.terminal.get(&job) {
+                self.reply(next.rid, Response::Status { code: 200, status });
+                continue;
+            }
+            // Accepted elsewhere since it came.
+            if self.mirror.jobs.contains_key(&job) {
+                self.wait(next.rid, job, Wait::Known(next.spec));
+                continue;
+            }
             let record = JobRecord::new((*next.spec).clone(), self.wall_ms);
             // Long names and type lists count; 48 KiB leave room for the guards.
             let length = serde_json::to_string(&record).map_or(0, |s| s.len()) + 200;
-            if batch.len() >= self.cfg.txn_ops || size + length > 48 * 1024 {
+            if size + length > 48 * 1024 && !batch.is_empty() {
+                self.submissions.push_front(next);
                 break;
             }
-            let Some(next) = self.submissions.pop_front() else {
-                break;
-            };
             if length > self.cfg.value_bytes {
                 self.reply(next.rid, Response::refuse(400, "the description is too long"));
                 continue;
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -2,7 +2,8 @@
 
 use crate::effects::Effect;
 use crate::fleet::Machine;
-use crate::jobs::Wish;
+use crate::jobs::{Local, Wish};
+use crate::mirror::Live;
 use crate::node::{Node, Pending};
 use crate::shrink::YIELD_MS;
 use cleatfold_plan::chart::FOREVER;
@@ -10,7 +11,6 @@
 use cleatfold_plan::{MachineChart, Request, Reservation, Resources};
 use cleatfold_wire::job::Kind;
 use cleatfold_wire::mesh::{Message, Promise};
-use cleatfold_wire::worker::TaskState;
 use cleatfold_wire::*;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -75,7 +75,7 @@
 
     /// Also which jobs lie within their team's guarantee.
     fn queue_and_guarantees(&self) -> (Vec<Queued>, HashSet<JobId>) {
-        let mut arrivals: Vec<(&JobId, &crate::mirror::Live)> =
+        let mut arrivals: Vec<(&JobId, &Live)> =
             self.mirror.jobs.iter().filter(|(_, j)| !j.record.aborted).collect();
         arrivals.sort_by(|a, b| (a.1.record.accepted_ms, a.0).cmp(&(b.1.record.accepted_ms, b.0)));
         let mut guarantees = Guarantees::new(
@@ -126,7 +126,9 @@
 
     pub(crate) fn plan_if_due(&mut self) {
         // Deciding faster than decisions can be recorded only costs.
-        let interval = PLAN_MS.max(2 * self.pace.ms_per_change());
+        // Nor is there much to decide between the reports that tell of what has ended.
+        let least = PLAN_MS.max(self.cfg.report_ms / 15);
+        let interval = least.max(2 * self.pace.ms_per_change()) * self.stretch;
         if !self.dirty || self.now.since(self.plans.planned) < interval {
             return;
         }
@@ -223,16 +225,23 @@
             let price = if m.spot { kind.spot_price } else { kind.price };
             chart.cost = (price / kind.cpus.max(0.001) * 1e6) as u64;
             chart.images = m.images.iter().map(|(image, _)| (image.clone(), now)).collect();
+            // Claims come sorted by job: one look-up serves all of a job's.
+            let mut known: Option<(&JobId, &Live, Option<&Local>)> = None;
             for ((job, ix), claim) in self.mirror.claims.get(id).into_iter().flatten() {
-                let Some(live) = self.mirror.jobs.get(job) else {
-                    continue;
+                let (live, local) = match known {
+                    Some((last, live, local)) if last == job => (live, local),
+                    _ => {
+                        let Some(live) = self.mirror.jobs.get(job) else { continue };
+                        (live, self.locals.get(job))
+                    }
                 };
+                known = Some((job, live, local));
                 // Its room is free though its end is not recorded yet. (Waiting for the record
                 // left every place empty for seconds when changes run short.)
-                if self.is_ending(job, *ix, claim.attempt) {
+                if local.is_some_and(|l| l.is_ending(*ix, claim.attempt)) {
                     continue;
                 }
-                let end = self.expected_end(id, m, job, *ix, live);
+                let end = self.expected_end(id, m, (job, *ix), live, local);
                 chart.carve(now, end, live.each);
                 let image = &live.record.spec.image;
                 if !chart.images.iter().any(|(i, _)| i == image) {
@@ -246,7 +255,7 @@
         (ids, charts)
     }
 
-    fn run_ms(&self, live: &crate::mirror::Live) -> u64 {
+    fn run_ms(&self, live: &Live) -> u64 {
         if live.record.spec.kind == Kind::Service {
             return FOREVER;
         }
@@ -262,9 +271,9 @@
         &self,
         machine_id: &MachineId,
         machine: &crate::fleet::Machine,
-        job: &JobId,
-        ix: TaskIx,
-        live: &crate::mirror::Live,
+        (job, ix): (&JobId, TaskIx),
+        live: &Live,
+        local: Option<&Local>,
     ) -> Ms {
         let run = self.run_ms(live);
         if run >= FOREVER {
@@ -279,7 +288,7 @@
             let beyond = ix >= live.beyond;
             return self.now.plus(if beyond { width.yield_ms(YIELD_MS) } else { run });
         }
-        let saved = self.locals.get(job).and_then(|l| l.saved.get(&ix)).copied().unwrap_or(0);
+        let saved = local.and_then(|l| l.saved.get(&ix)).copied().unwrap_or(0);
         let run = run.saturating_sub(saved);
         match machine.started.get(&(job.clone(), ix)) {
             Some(start) => {
@@ -295,7 +304,7 @@
         }
     }
 
-    pub(crate) fn may_use(&self, live: &crate::mirror::Live, pool: &PoolId) -> bool {
+    pub(crate) fn may_use(&self, live: &Live, pool: &PoolId) -> bool {
         let spec = &live.record.spec;
         spec.types.as_ref().is_none_or(|t| t.contains(&pool.machine_type))
             && spec.zone.as_ref().is_none_or(|z| *z == pool.zone)
@@ -360,7 +369,7 @@
         self.mirror
             .tables(job)
             .flat_map(|t| &t.claims)
-            .filter(|g| PoolId::parse(&g.pool).is_some_and(|p| p.zone == *zone))
+            .filter(|g| g.pool.zone == *zone)
             .map(|g| g.tasks.len() as u32)
             .sum()
     }
@@ -428,7 +437,7 @@
             let each = live.each;
             let fits = self.within_slice(&team, &plan.pool, &mut usage, each, tasks);
             if fits < tasks {
-                let key = (team, plan.pool.to_string());
+                let key = (team, plan.pool.clone());
                 *self.short.entry(key).or_default() += each.times(tasks - fits);
             }
             tasks = fits;
@@ -486,7 +495,7 @@
     }
 
     fn tell_promises(&mut self, plans: &[PoolPlan]) {
-        if self.now.since(self.plans.told) < PROMISE_MS {
+        if self.now.since(self.plans.told) < PROMISE_MS * self.stretch.min(4) {
             return;
         }
         self.plans.told = self.now;
@@ -516,23 +525,30 @@
 
     /// What limited teams use in our pools: every claim counts until it is proven over, and
     /// so does every claim that is on its way.
-    pub(crate) fn limited_usage(&self) -> BTreeMap<(TeamId, String), Resources> {
-        let mut usage: BTreeMap<(TeamId, String), Resources> = BTreeMap::new();
-        let limited = |team: &TeamId| self.cfg.team(team).is_some_and(|t| t.is_limited());
+    pub(crate) fn limited_usage(&self) -> BTreeMap<(TeamId, PoolId), Resources> {
+        let mut usage: BTreeMap<(TeamId, PoolId), Resources> = BTreeMap::new();
+        // Only our own pools' parts are ours to spend, and others hold most of the claims.
+        let own: Vec<&PoolId> = self.owned_since.keys().collect();
+        let teams: Vec<&TeamId> =
+            self.cfg.teams.iter().filter(|t| t.is_limited()).map(|t| &t.name).collect();
+        let mut used = vec![Resources::default(); own.len() * teams.len()];
         for (id, live) in &self.mirror.jobs {
-            let team = &live.record.spec.team;
-            if live.claimed == 0 || !limited(team) {
-                continue;
-            }
+            let team = teams.iter().position(|t| **t == live.record.spec.team);
+            let Some(team) = team.filter(|_| live.claimed > 0) else { continue };
             for group in self.mirror.tables(id).flat_map(|t| &t.claims) {
-                *usage.entry((team.clone(), group.pool.clone())).or_default() +=
-                    live.each.times(group.tasks.len() as u32);
+                if let Some(pool) = own.iter().position(|p| **p == group.pool) {
+                    used[team * own.len() + pool] += live.each.times(group.tasks.len() as u32);
+                }
             }
         }
+        for (i, used) in used.into_iter().enumerate() {
+            let (team, pool) = (teams[i / own.len()], own[i % own.len()]);
+            usage.insert((team.clone(), pool.clone()), used);
+        }
         for (id, local) in &self.locals {
             for wish in &local.wishes {
                 if let Some(live) = self.mirror.jobs.get(id) {
-                    let key = (live.record.spec.team.clone(), wish.pool.to_string());
+                    let key = (live.record.spec.team.clone(), wish.pool.clone());
                     *usage.entry(key).or_default() += live.each.times(wish.tasks);
                 }
             }
@@ -555,7 +571,7 @@
         &self,
         team: &TeamId,
         pool: &PoolId,
-        usage: &mut BTreeMap<(TeamId, String), Resources>,
+        usage: &mut BTreeMap<(TeamId, PoolId), Resources>,
         each: Resources,
         tasks: u32,
     ) -> u32 {
@@ -568,10 +584,9 @@
         if self.limits_blind.is_some() || self.slices_inflight.contains(team) {
             return 0;
         }
-        let name = pool.to_string();
-        let slice = self.mirror.slices.get(team).and_then(|s| s.1.pools.get(&name)).copied();
+        let slice = self.mirror.slices.get(team).and_then(|s| s.1.pools.get(pool)).copied();
         let (cpus, gpus) = slice.unwrap_or_default();
-        let used = usage.entry((team.clone(), name)).or_default();
+        let used = usage.entry((team.clone(), pool.clone())).or_default();
         let far = i64::MAX / 4;
         let room = Resources {
             cpus: if limit.cpus_max > 0.0 { cpus - used.cpus } else { far },
@@ -582,16 +597,4 @@
         *used += each.times(n);
         n
     }
-
-    /// Whether nothing is claimed for a machine and nothing runs there by its last report.
-    pub(crate) fn is_idle(&self, id: &MachineId) -> bool {
-        let claimed = self.mirror.claims.get(id).is_some_and(|c| !c.is_empty());
-        let running = self
-            .fleet
-            .machines
-            .get(id)
-            .and_then(|m| m.report.as_ref())
-            .is_some_and(|r| r.tasks.iter().any(|t| t.state != TaskState::Exited));
-        !claimed && !running
-    }
 }
--- a/crates/cleatfold-control/src/shrink.rs
+++ b/crates/cleatfold-control/src/shrink.rs
@@ -54,6 +54,10 @@
         self.tasks.get(machine)?.get(&(job.clone(), ix))
     }
 
+    pub fn any(&self, machine: &MachineId) -> bool {
+        self.tasks.contains_key(machine)
+    }
+
     pub fn remove(&mut self, machine: &MachineId, job: &JobId, ix: TaskIx) {
         if let Some(on) = self.tasks.get_mut(machine) {
             on.remove(&(job.clone(), ix));
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -12,8 +12,9 @@
 use crate::jobs::End;
 use crate::node::Node;
 use cleatfold_wire::cloud::MachineState;
-use cleatfold_wire::worker::{Command, Exit, Report, ReportReply, TaskState};
+use cleatfold_wire::worker::{Command, Exit, RawReport, Report, ReportReply, TaskState};
 use cleatfold_wire::*;
+use serde_json::value::RawValue;
 use std::collections::{BTreeSet, VecDeque};
 
 /// A report whose answer waits a moment for a command.
@@ -31,7 +32,7 @@
 const UNDERWAY_MS: u64 = 5000;
 
 impl Node {
-    pub(crate) fn on_report(&mut self, rid: u64, report: Report) {
+    pub(crate) fn on_report(&mut self, rid: u64, report: RawReport) {
         if !self.serving() || self.fleet.is_deleted(&report.machine) {
             return self.reply(rid, Response::Redirect(None));
         }
@@ -53,7 +54,20 @@
             return self.reply(rid, Response::later("an old report"));
         }
         let id = report.machine.clone();
-        let commands = self.take_report(&pool, token, report);
+        let commands = if self.says_the_same(&report, token) {
+            self.take_again(&report, token);
+            vec![]
+        } else {
+            match report.read_tasks() {
+                Ok(tasks) => {
+                    let text = report.tasks.clone();
+                    self.take_report(&pool, token, report.with_tasks(tasks), text)
+                }
+                Err(error) => {
+                    return self.reply(rid, Response::refuse(400, format!("not a report: {error}")))
+                }
+            }
+        };
         let hold = if commands.is_empty() { self.hold_ms(&id) } else { 0 };
         if hold > 0 {
             let until = self.now.plus(hold);
@@ -197,14 +211,54 @@
         came.count() >= Config::strays_that_move(machines)
     }
 
-    fn take_report(&mut self, pool: &PoolId, token: Token, report: Report) -> Vec<Command> {
+    /// The report repeats its machine's last one, and nothing here has changed since that would
+    /// call for a command: most reports of a large fleet. (Reading each of them in full and
+    /// going through its claims took most of the processor time that reports cost.)
+    fn says_the_same(&self, report: &RawReport, token: Token) -> bool {
+        let Some(machine) = self.fleet.machines.get(&report.machine) else { return false };
+        let Some(last) = &machine.report else { return false };
+        last.settled.is_some_and(|stamp| stamp == self.mirror.claims_stamp(&report.machine))
+            && last.session == report.session
+            && last.token == token
+            && report.token == token
+            && report.notice_s.is_none()
+            && machine.takes_work()
+            && !machine.expired
+            && !self.stops.any(&report.machine)
+            && last.text.get() == report.tasks.get()
+    }
+
+    /// Notes such a report: as new as any other.
+    fn take_again(&mut self, report: &RawReport, token: Token) {
+        self.strays.remove(&report.machine);
+        self.drop_held(&report.machine);
         let now = self.now;
-        let id = report.machine.clone();
-        self.strays.remove(&id);
-        if let Some(old) = self.held.remove(&id) {
-            // Its worker gave up on that answer.
+        let Some(machine) = self.fleet.machines.get_mut(&report.machine) else { return };
+        machine.answered = Some((now, token));
+        machine.spot = report.spot;
+        if let Some(last) = &mut machine.report {
+            (last.seq, last.at) = (report.seq, now);
+        }
+    }
+
+    /// A newer report came: its worker gave up on the answer to the one before.
+    fn drop_held(&mut self, id: &MachineId) {
+        if let Some(old) = self.held.remove(id) {
             self.reply(old.rid, Response::later("a newer report came"));
         }
+    }
+
+    fn take_report(
+        &mut self,
+        pool: &PoolId,
+        token: Token,
+        report: Report,
+        text: Box<RawValue>,
+    ) -> Vec<Command> {
+        let now = self.now;
+        let id = report.machine.clone();
+        self.strays.remove(&id);
+        self.drop_held(&id);
         let spot = report.spot;
         let machine = self
             .fleet
@@ -301,6 +355,10 @@
                 lost.push((job, ix, claim.attempt, "not there after take-over"));
             }
         }
+        // What elastic members do changes without a change of their claims.
+        let elastic = self.mirror.any_elastic();
+        let quiet = commands.is_empty() && starts.is_empty() && lost.is_empty() && ends.is_empty();
+        let settled = (quiet && !elastic).then(|| self.mirror.claims_stamp(&id));
         for (job, ix, attempt, why) in lost {
             let fence = Some((pool.clone(), token));
             let end = End { machine: id.clone(), ix, attempt, done: false, why, fence };
@@ -322,6 +380,8 @@
                 token: report.token,
                 at: now,
                 tasks: report.tasks,
+                text,
+                settled,
             };
             let changed = machine.report.as_ref().is_none_or(|r| r.tasks != last.tasks);
             machine.report = Some(last);
--- /dev/null
+++ b/crates/cleatfold-door/src/seats.rs
@@ -0,0 +1,81 @@
+//! Connections: a bounded number, and who leaves for whom.
+
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SeatId(pub u64);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Seat {
+    /// When a request last began or ended on it.
+    pub active: u64,
+    /// A request is being worked on.
+    pub busy: bool,
+    /// It has brought a worker's report.
+    pub worker: bool,
+}
+
+/// The connections of the HTTP server. What is above `most` is made room for by those that are
+/// idle longest, users' before workers': a worker's connection is used again within a report's
+/// interval, and a new one costs more than the report.
+#[derive(Debug)]
+pub struct Seats {
+    most: usize,
+    idle_ms: u64,
+    next: u64,
+    taken: BTreeMap<SeatId, Seat>,
+}
+
+/// An abandoned request (its asker is behind a cut and will never say so) holds its connection
+/// no longer than this.
+const ABANDONED_MS: u64 = 20_000;
+
+impl Seats {
+    /// `sockets`: all that the process may have. `idle_ms`: a connection without a request for
+    /// so long is closed.
+    pub fn new(sockets: usize, idle_ms: u64) -> Self {
+        // The state service, the cloud, the mesh and orders to workers have theirs in any case:
+        // a node full of users must still be able to renew its lease.
+        let kept = (sockets / 8).clamp(16, 512);
+        Self { most: sockets.saturating_sub(kept).max(8), idle_ms, next: 0, taken: BTreeMap::new() }
+    }
+
+    /// A new connection; the one that has to be closed for it, which may be the new one itself.
+    pub fn open(&mut self, now: u64) -> (SeatId, Option<SeatId>) {
+        self.next += 1;
+        let id = SeatId(self.next);
+        self.taken.insert(id, Seat { active: now, busy: false, worker: false });
+        if self.taken.len() <= self.most {
+            return (id, None);
+        }
+        let idle = self.taken.iter().filter(|(other, s)| **other != id && !s.busy);
+        let leaves = idle.min_by_key(|(_, s)| (s.worker, s.active)).map(|(id, _)| *id);
+        (id, Some(leaves.unwrap_or(id)))
+    }
+
+    pub fn close(&mut self, id: SeatId) {
+        self.taken.remove(&id);
+    }
+
+    pub fn note(&mut self, id: SeatId, now: u64, busy: bool, worker: bool) {
+        if let Some(seat) = self.taken.get_mut(&id) {
+            (seat.active, seat.busy) = (now, busy);
+            seat.worker |= worker;
+        }
+    }
+
+    /// Connections that nobody uses any more.
+    pub fn unused(&self, now: u64) -> Vec<SeatId> {
+        let over = |s: &Seat| if s.busy { ABANDONED_MS } else { self.idle_ms };
+        let unused = self.taken.iter().filter(|(_, s)| now.saturating_sub(s.active) > over(s));
+        unused.map(|(id, _)| *id).collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.taken.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.taken.is_empty()
+    }
+}
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -488,7 +488,7 @@
                 let rid = self.next_rid;
                 let asked = Asked::Report(machine, sent, report.session.0, report.seq.0);
                 self.asked.insert((node, rid), asked);
-                self.give(node, Event::Report { rid, report });
+                self.give(node, Event::Report { rid, report: report.into_raw() });
             }
             Happens::WorkerAnswer { machine, number, sent, session, response } => {
                 self.worker_answer(machine, number, sent, session, response)
--- a/crates/cleatfold-plan/src/resources.rs
+++ b/crates/cleatfold-plan/src/resources.rs
@@ -24,8 +24,9 @@
         for (have, want) in
             [(self.cpus, each.cpus), (self.gpus, each.gpus), (self.memory, each.memory)]
         {
-            if want > 0 {
-                n = n.min(have.max(0) / want);
+            // Dividing is dear and seldom needed: this is asked of every step of every chart.
+            if want > 0 && have < want.saturating_mul(n) {
+                n = have.max(0) / want;
             } else if have < 0 {
                 return 0;
             }
@@ -33,6 +34,11 @@
         n as u32
     }
 
+    /// Whether a single task fits.
+    pub fn holds(&self, each: &Resources) -> bool {
+        self.cpus >= each.cpus && self.gpus >= each.gpus && self.memory >= each.memory
+    }
+
     pub fn times(&self, n: u32) -> Resources {
         let n = i64::from(n);
         Resources { cpus: self.cpus * n, gpus: self.gpus * n, memory: self.memory * n }
--- a/crates/cleatfold-wire/src/ids.rs
+++ b/crates/cleatfold-wire/src/ids.rs
@@ -1,33 +1,33 @@
 //! Ids, versions and times, each a type of its own so that they cannot be mixed up.
 
+use crate::name::Name;
+use serde::de::Visitor;
 use serde::{Deserialize, Serialize};
-use std::borrow::Borrow;
 use std::fmt;
-use std::sync::Arc;
 
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(transparent)]
-        pub struct $name(Arc<str>);
+        pub struct $name(Name);
 
         impl $name {
             pub fn new(text: impl AsRef<str>) -> Self {
-                Self(Arc::from(text.as_ref()))
+                Self(Name::new(text.as_ref()))
             }
             pub fn as_str(&self) -> &str {
-                &self.0
+                self.0.as_str()
             }
         }
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
+                fmt::Display::fmt(&self.0, f)
             }
         }
         impl fmt::Debug for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
+                fmt::Display::fmt(&self.0, f)
             }
         }
         impl From<&str> for $name {
@@ -35,11 +35,6 @@
                 Self::new(text)
             }
         }
-        impl Borrow<str> for $name {
-            fn borrow(&self) -> &str {
-                &self.0
-            }
-        }
     };
 }
 
@@ -96,6 +91,28 @@
     }
 }
 
+impl Serialize for PoolId {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for PoolId {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        struct Text;
+        impl Visitor<'_> for Text {
+            type Value = PoolId;
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("a pool, TYPE/ZONE")
+            }
+            fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<PoolId, E> {
+                PoolId::parse(text).ok_or_else(|| E::custom("a pool is TYPE/ZONE"))
+            }
+        }
+        d.deserialize_str(Text)
+    }
+}
+
 macro_rules! number_type {
     ($(#[$doc:meta])* $name:ident($inner:ty)) => {
         $(#[$doc])*
@@ -182,11 +199,20 @@
 
 impl<'de> Deserialize<'de> for TaskId {
     fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
-        let text = <std::borrow::Cow<'de, str>>::deserialize(d)?;
-        text.rsplit_once('/')
-            .and_then(|(job, ix)| {
-                Some(TaskId { job: JobId::new(job), ix: TaskIx(ix.parse().ok()?) })
-            })
-            .ok_or_else(|| serde::de::Error::custom("a task is JOB/NUMBER"))
+        struct Text;
+        impl Visitor<'_> for Text {
+            type Value = TaskId;
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("a task, JOB/NUMBER")
+            }
+            fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<TaskId, E> {
+                text.rsplit_once('/')
+                    .and_then(|(job, ix)| {
+                        Some(TaskId { job: JobId::new(job), ix: TaskIx(ix.parse().ok()?) })
+                    })
+                    .ok_or_else(|| E::custom("a task is JOB/NUMBER"))
+            }
+        }
+        d.deserialize_str(Text)
     }
 }
--- a/crates/cleatfold-wire/src/lib.rs
+++ b/crates/cleatfold-wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ids;
 pub mod job;
 pub mod mesh;
+pub mod name;
 pub mod steps;
 pub mod store;
 pub mod worker;
--- a/crates/cleatfold-wire/src/worker.rs
+++ b/crates/cleatfold-wire/src/worker.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::*;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -45,8 +46,9 @@
     pub saved: Option<bool>,
 }
 
+/// A worker's report. `T` is its list of tasks: read, or as it came (`RawReport`).
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Report {
+pub struct Report<T = Vec<TaskReport>> {
     #[serde(rename = "ruche")]
     pub machine: MachineId,
     /// Where it takes `/orders`.
@@ -66,8 +68,50 @@
     pub token: Token,
     #[serde(rename = "preavisS", default)]
     pub notice_s: Option<f64>,
-    #[serde(rename = "pieces", default)]
-    pub tasks: Vec<TaskReport>,
+    #[serde(rename = "pieces", default = "T::default")]
+    #[serde(bound(deserialize = "T: Default + Deserialize<'de>"))]
+    pub tasks: T,
+}
+
+/// A report whose list of tasks is still the text that came. Most reports say the same as the
+/// one before, which a comparison of the texts shows without reading them.
+pub type RawReport = Report<Box<RawValue>>;
+
+impl<T> Report<T> {
+    /// The same report with another list of tasks.
+    pub fn with_tasks<U>(self, tasks: U) -> Report<U> {
+        Report {
+            machine: self.machine,
+            endpoint: self.endpoint,
+            machine_type: self.machine_type,
+            zone: self.zone,
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: self.notice_s,
+            tasks,
+        }
+    }
+}
+
+impl RawReport {
+    /// Whether there is anything in the list of tasks.
+    pub fn lists_tasks(&self) -> bool {
+        self.tasks.get().contains('{')
+    }
+
+    pub fn read_tasks(&self) -> serde_json::Result<Vec<TaskReport>> {
+        // What may be absent may be null.
+        serde_json::from_str::<Option<_>>(self.tasks.get()).map(Option::unwrap_or_default)
+    }
+}
+
+impl Report {
+    pub fn into_raw(self) -> RawReport {
+        let text = serde_json::value::to_raw_value(&self.tasks).expect("tasks are plain JSON");
+        self.with_tasks(text)
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/cleatfold/src/actor.rs
+++ b/crates/cleatfold/src/actor.rs
@@ -8,25 +8,60 @@
 use bytes::Bytes;
 use cleatfold_clients::{cloud, mesh, store, workers};
 use cleatfold_control::{Effect, Event, Node, Request, Response};
+use cleatfold_door::{Class, Desk, Level, Pressure};
 use cleatfold_wire::mesh::Message;
-use cleatfold_wire::worker::Report;
+use cleatfold_wire::worker::RawReport;
 use cleatfold_wire::{Ms, NodeId};
 use std::collections::HashMap;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 
 const TICK: Duration = Duration::from_millis(50);
 
-/// What the other actors say to the core.
-pub enum ToCore {
-    Ask { request: Request, answer: oneshot::Sender<Response> },
-    Report { report: Report, answer: oneshot::Sender<Response> },
-    Event(Event),
+/// Asks that are handled before others have a turn to send or receive.
+const AT_ONCE: u32 = 32;
+
+/// What the door hands in.
+pub struct Ask {
+    pub arrived: Instant,
+    pub what: Asked,
+    pub answer: oneshot::Sender<Response>,
+}
+
+pub enum Asked {
+    Request(Request),
+    Report(RawReport),
+}
+
+impl Asked {
+    fn class(&self) -> Class {
+        match self {
+            Asked::Report(report) if report.lists_tasks() => Class::Busy,
+            Asked::Report(_) => Class::Idle,
+            Asked::Request(Request::Poll(_)) => Class::Poll,
+            Asked::Request(_) => Class::Ask,
+        }
+    }
 }
 
-pub type Core = mpsc::UnboundedSender<ToCore>;
+/// What the core last said of itself: enough to answer some at the door.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Vitals {
+    pub ready: bool,
+    /// The part of the polls that is turned away unread.
+    pub polls_refused: f64,
+    /// Whoever is turned away should come back within so many seconds.
+    pub retry_s: u32,
+}
+
+/// The core as the door knows it.
+#[derive(Clone)]
+pub struct Core {
+    pub asks: mpsc::UnboundedSender<Ask>,
+    pub vitals: watch::Receiver<Vitals>,
+}
 
 struct Outlets {
     store: mpsc::UnboundedSender<store::Job>,
@@ -70,7 +105,11 @@
 }
 
 pub async fn serve(settings: Settings, operator: Operator) -> std::io::Result<()> {
-    let (core, mut inbox) = mpsc::unbounded_channel::<ToCore>();
+    // What the services we use and our peers say comes in apart from what is asked of us: a node
+    // that has more to answer than it can must still hear that its own lease was renewed.
+    let (core, inner) = mpsc::unbounded_channel::<Event>();
+    let (asks, asked) = mpsc::unbounded_channel::<Ask>();
+    let (say, vitals) = watch::channel(Vitals { ready: false, polls_refused: 0.0, retry_s: 2 });
     let (store_queue, store_jobs) = mpsc::unbounded_channel();
     let (cloud_queue, cloud_jobs) = mpsc::unbounded_channel();
     let (worker_queue, worker_jobs) = mpsc::unbounded_channel();
@@ -84,7 +123,7 @@
         settings.store_budget(),
         store_jobs,
         move |op, reply| {
-            let _ = to_core.send(ToCore::Event(Event::Store { op, reply }));
+            let _ = to_core.send(Event::Store { op, reply });
         },
     ));
     let to_core = core.clone();
@@ -92,16 +131,16 @@
         settings.endpoints.cloud.to_string(),
         cloud_jobs,
         move |op, reply| {
-            let _ = to_core.send(ToCore::Event(Event::Cloud { op, reply }));
+            let _ = to_core.send(Event::Cloud { op, reply });
         },
     ));
     let to_core = core.clone();
     tokio::task::spawn_local(workers::run(worker_jobs, move |machine, report| {
-        let _ = to_core.send(ToCore::Event(Event::Ordered { machine, report }));
+        let _ = to_core.send(Event::Ordered { machine, report });
     }));
     let to_core = core.clone();
     tokio::task::spawn_local(mesh::listen(mesh_listener, move |from, message| {
-        let _ = to_core.send(ToCore::Event(Event::Mesh { from, message }));
+        let _ = to_core.send(Event::Mesh { from, message });
     }));
     let mut mesh_queues = HashMap::new();
     for peer in &settings.peers {
@@ -110,9 +149,10 @@
         let me = settings.node.clone();
         tokio::task::spawn_local(mesh::dial(me, peer.endpoint.to_string(), frames));
     }
-    tokio::task::spawn_local(crate::serve::run(listener, core.clone()));
+    let door = crate::serve::Door { sockets: settings.sockets(), idle: settings.idle_connection() };
+    tokio::task::spawn_local(crate::serve::run(listener, Core { asks, vitals }, door));
 
-    let mut outlets = Outlets {
+    let outlets = Outlets {
         store: store_queue,
         cloud: cloud_queue,
         workers: worker_queue,
@@ -121,36 +161,137 @@
     };
     let mut config = settings.control();
     operator.apply(&mut config);
-    let mut node = Node::new(config);
-    // Steady time starts at 1 s so that 0 can stand for "never".
-    let start = Instant::now();
-    let steady = || Ms(1000 + start.elapsed().as_millis() as u64);
-    let mut ticker = tokio::time::interval(TICK);
-    ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut next_rid = 0u64;
     tracing::info!(node = %settings.node, zone = %settings.zone, "serving");
-    loop {
-        let event = tokio::select! {
-            message = inbox.recv() => match message {
-                None => return Ok(()),
-                Some(ToCore::Event(event)) => event,
-                Some(ToCore::Ask { request, answer }) => {
-                    next_rid += 1;
-                    outlets.answers.insert(next_rid, answer);
-                    Event::Request { rid: next_rid, request }
-                }
-                Some(ToCore::Report { report, answer }) => {
-                    next_rid += 1;
-                    outlets.answers.insert(next_rid, answer);
-                    Event::Report { rid: next_rid, report }
+    CoreActor {
+        node: Node::new(config),
+        outlets,
+        start: Instant::now(),
+        desk: Desk::default(),
+        pressure: Pressure::default(),
+        told: Level::Calm,
+        say,
+        next_rid: 0,
+    }
+    .run(inner, asked)
+    .await;
+    Ok(())
+}
+
+/// Owns the node's state; everything else speaks to it by messages.
+struct CoreActor {
+    node: Node,
+    outlets: Outlets,
+    start: Instant,
+    desk: Desk<Ask>,
+    pressure: Pressure,
+    told: Level,
+    say: watch::Sender<Vitals>,
+    next_rid: u64,
+}
+
+impl CoreActor {
+    async fn run(
+        mut self,
+        mut inner: mpsc::UnboundedReceiver<Event>,
+        mut asked: mpsc::UnboundedReceiver<Ask>,
+    ) {
+        let mut next_tick = Instant::now();
+        let mut handled = 0;
+        loop {
+            while let Ok(event) = inner.try_recv() {
+                self.handle(event);
+            }
+            while let Ok(ask) = asked.try_recv() {
+                self.take(ask);
+            }
+            let now = Instant::now();
+            if now >= next_tick {
+                self.tick(now - next_tick);
+                next_tick = now + TICK;
+            }
+            if let Some(ask) = self.desk.pop(self.millis(now)) {
+                self.work_on(ask);
+                handled += 1;
+                if handled % AT_ONCE == 0 {
+                    tokio::task::yield_now().await;
                 }
-            },
-            _ = ticker.tick() => Event::Tick,
-        };
+                continue;
+            }
+            tokio::select! {
+                biased;
+                event = inner.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+                ask = asked.recv() => match ask {
+                    Some(ask) => self.take(ask),
+                    None => return,
+                },
+                _ = tokio::time::sleep_until(next_tick) => {}
+            }
+        }
+    }
+
+    /// Steady time. Starts at 1 s so that 0 can stand for "never".
+    fn millis(&self, at: Instant) -> u64 {
+        1000 + at.saturating_duration_since(self.start).as_millis() as u64
+    }
+
+    fn handle(&mut self, event: Event) {
         let wall_ms =
             SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-        for effect in node.handle(steady(), wall_ms, event) {
-            outlets.carry_out(effect);
+        let steady = Ms(self.millis(Instant::now()));
+        for effect in self.node.handle(steady, wall_ms, event) {
+            self.outlets.carry_out(effect);
+        }
+    }
+
+    fn tick(&mut self, late: Duration) {
+        let now = self.millis(Instant::now());
+        self.pressure.note(now, late.as_millis() as u64, self.desk.oldest_ms(now));
+        for (class, ask) in self.desk.expired(now) {
+            // Its asker has left, or will have before an answer could be there.
+            tracing::debug!(?class, "too late to answer");
+            self.turn_away(ask);
+        }
+        if self.pressure.level() != self.told {
+            self.told = self.pressure.level();
+            tracing::info!(level = ?self.told, waiting = self.desk.len(), "pressure");
+            self.node.set_stretch(self.pressure.stretch());
+        }
+        self.handle(Event::Tick);
+        let vitals = Vitals {
+            ready: self.node.is_ready(),
+            polls_refused: self.pressure.polls_refused(),
+            retry_s: 1 + self.pressure.stretch() as u32,
+        };
+        self.say.send_if_modified(|known| std::mem::replace(known, vitals) != vitals);
+    }
+
+    fn take(&mut self, ask: Ask) {
+        let arrived = self.millis(ask.arrived);
+        if let Some(turned) = self.desk.push(ask.what.class(), arrived, ask) {
+            self.turn_away(turned);
+        }
+    }
+
+    fn turn_away(&self, ask: Ask) {
+        let retry = self.pressure.retry_after_s(&mut rand::rng());
+        let why = "more is asked than can be answered".to_string();
+        let _ = ask.answer.send(Response::Refusal { code: 503, why, retry_after_s: Some(retry) });
+    }
+
+    fn work_on(&mut self, ask: Ask) {
+        // Whoever has hung up is not worked for.
+        if ask.answer.is_closed() {
+            return;
         }
+        self.next_rid += 1;
+        let rid = self.next_rid;
+        self.outlets.answers.insert(rid, ask.answer);
+        self.handle(match ask.what {
+            Asked::Request(request) => Event::Request { rid, request },
+            Asked::Report(report) => Event::Report { rid, report },
+        });
     }
 }
--- a/crates/cleatfold/src/serve.rs
+++ b/crates/cleatfold/src/serve.rs
@@ -1,38 +1,173 @@
 //! The HTTP server: turns requests into messages to the core and its answers into responses.
 
-use crate::actor::{Core, ToCore};
+use crate::actor::{Ask, Asked, Core};
 use bytes::{Buf, Bytes, BytesMut};
 use cleatfold_control::{Request, Response};
+use cleatfold_door::{SeatId, Seats};
 use cleatfold_wire::job::{is_job_id, JobSpec, Problem, SpecError, MAX_BODY};
 use cleatfold_wire::steps::StepReport;
-use cleatfold_wire::worker::{Redirect, Report};
+use cleatfold_wire::worker::{RawReport, Redirect};
 use cleatfold_wire::JobId;
 use futures_util::{Stream, StreamExt};
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use rand::Rng;
 use serde::Serialize;
+use std::collections::HashMap;
 use std::convert::Infallible;
-use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 use warp::http::{Method, StatusCode};
 use warp::path::FullPath;
 use warp::Filter;
 
 type Reply = warp::http::Response<Bytes>;
 
-pub async fn run(listener: TcpListener, core: Core) {
-    let routes = warp::method()
-        .and(warp::path::full())
-        .and(warp::header::optional::<u64>("content-length"))
-        .and(warp::body::stream())
-        .and(warp::any().map(move || core.clone()))
-        .then(|method: Method, path: FullPath, length: Option<u64>, body, core: Core| async move {
-            let reply = match read_body(length, body).await {
-                Ok(body) => route(&method, path.as_str(), &body, &core).await,
-                Err(refusal) => refusal,
-            };
-            Ok::<_, Infallible>(reply)
+/// What the server may use.
+pub struct Door {
+    pub sockets: usize,
+    /// A connection without a request for so long is closed.
+    pub idle: Duration,
+}
+
+/// What a connection says of itself.
+enum News {
+    Began { id: SeatId, worker: bool },
+    Ended { id: SeatId },
+    Closed { id: SeatId },
+}
+
+/// How often connections that nobody uses are looked for.
+const SWEEP: Duration = Duration::from_secs(2);
+/// After an accept that failed, most likely for want of sockets.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections and owns the table of them.
+pub async fn run(listener: TcpListener, core: Core, door: Door) {
+    let (news, mut heard) = mpsc::unbounded_channel();
+    let mut seats = Seats::new(door.sockets, door.idle.as_millis() as u64);
+    let mut leave: HashMap<SeatId, oneshot::Sender<()>> = HashMap::new();
+    let start = Instant::now();
+    let millis = || start.elapsed().as_millis() as u64;
+    let mut sweep = tokio::time::interval(SWEEP);
+    loop {
+        tokio::select! {
+            biased;
+            told = heard.recv() => match told {
+                Some(News::Began { id, worker }) => seats.note(id, millis(), true, worker),
+                Some(News::Ended { id }) => seats.note(id, millis(), false, false),
+                Some(News::Closed { id }) => {
+                    seats.close(id);
+                    leave.remove(&id);
+                }
+                None => return,
+            },
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let (id, leaves) = seats.open(millis());
+                    let (asked_to, told_to) = oneshot::channel();
+                    leave.insert(id, asked_to);
+                    let visit = Visit { id, core: core.clone(), news: news.clone() };
+                    tokio::task::spawn_local(visit.run(stream, told_to));
+                    if let Some(other) = leaves {
+                        tracing::debug!(seats = seats.len(), "no sockets left: closing one");
+                        leave.remove(&other);
+                    }
+                }
+                Err(error) => {
+                    tracing::info!(%error, "cannot accept");
+                    tokio::time::sleep(PAUSE).await;
+                }
+            },
+            _ = sweep.tick() => {
+                for id in seats.unused(millis()) {
+                    leave.remove(&id);
+                }
+            }
+        }
+    }
+}
+
+/// One connection.
+#[derive(Clone)]
+struct Visit {
+    id: SeatId,
+    core: Core,
+    news: mpsc::UnboundedSender<News>,
+}
+
+impl Visit {
+    /// Serves until either side closes, or until `leave` is dropped.
+    async fn run(self, stream: TcpStream, leave: oneshot::Receiver<()>) {
+        let _ = stream.set_nodelay(true);
+        let (id, news) = (self.id, self.news.clone());
+        let service = TowerToHyperService::new(warp::service(self.routes()));
+        let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::select! {
+            // Connections that break off are everyday.
+            _ = serving => {}
+            _ = leave => {}
+        }
+        let _ = news.send(News::Closed { id });
+    }
+
+    fn routes(self) -> impl Filter<Extract = (Reply,), Error = Infallible> + Clone {
+        warp::method()
+            .and(warp::path::full())
+            .and(warp::header::optional::<u64>("content-length"))
+            .and(warp::body::stream())
+            .and(warp::any().map(move || self.clone()))
+            .then(|method: Method, path: FullPath, length: Option<u64>, body, visit: Visit| async move {
+                visit.answer(method, path, length, body).await
+            })
+            .recover(|refusal: warp::Rejection| async move {
+                // Only a content-length that is no number comes here.
+                Ok::<_, Infallible>(problem(400, &format!("{refusal:?}")))
+            })
+            .unify()
+    }
+
+    async fn answer<B: Buf>(
+        &self,
+        method: Method,
+        path: FullPath,
+        length: Option<u64>,
+        body: impl Stream<Item = Result<B, warp::Error>>,
+    ) -> Reply {
+        let path = path.as_str();
+        if method == Method::GET {
+            if let Some(reply) = self.at_the_door(path) {
+                return reply;
+            }
+        }
+        let _ = self.news.send(News::Began { id: self.id, worker: path == "/hello" });
+        let reply = match read_body(length, body).await {
+            Ok(body) => route(&method, path, &body, &self.core).await,
+            Err(refusal) => refusal,
+        };
+        let _ = self.news.send(News::Ended { id: self.id });
+        reply
+    }
+
+    /// What needs no turn at the core: readiness, and polls that are turned away.
+    fn at_the_door(&self, path: &str) -> Option<Reply> {
+        let vitals = *self.core.vitals.borrow();
+        if path == "/ready" {
+            return Some(match vitals.ready {
+                true => render(Response::Ready),
+                false => render(Response::later("this node is not ready")),
+            });
+        }
+        let turned = vitals.polls_refused > 0.0 && rand::rng().random_bool(vitals.polls_refused);
+        (turned && path.starts_with("/v1/jobs/")).then(|| {
+            let why = "more is asked than can be answered".to_string();
+            let retry_after_s = Some(rand::rng().random_range(1..=vitals.retry_s));
+            render(Response::Refusal { code: 503, why, retry_after_s })
         })
-        .map(|reply: Result<Reply, Infallible>| reply.unwrap_or_default());
-    warp::serve(routes).incoming(listener).run().await;
+    }
 }
 
 /// Reads a body of at most the protocol's length.
@@ -73,14 +208,10 @@
         return reply;
     }
     match parts.as_slice() {
-        ["hello"] => match serde_json::from_slice::<Report>(body) {
-            Ok(report) => {
-                let (answer, response) = oneshot::channel();
-                ask(core, ToCore::Report { report, answer }, response).await
-            }
+        ["hello"] => match serde_json::from_slice::<RawReport>(body) {
+            Ok(report) => ask(core, Asked::Report(report)).await,
             Err(error) => problem(400, &format!("not a report: {error}")),
         },
-        ["ready"] => ask_core(core, Request::Ready).await,
         ["v1", "jobs"] => match JobSpec::from_json(body) {
             Ok(spec) => ask_core(core, Request::Submit(Box::new(spec))).await,
             Err(error @ SpecError::TooLong) => problem(413, &error.to_string()),
@@ -98,12 +229,12 @@
 }
 
 async fn ask_core(core: &Core, request: Request) -> Reply {
-    let (answer, response) = oneshot::channel();
-    ask(core, ToCore::Ask { request, answer }, response).await
+    ask(core, Asked::Request(request)).await
 }
 
-async fn ask(core: &Core, message: ToCore, response: oneshot::Receiver<Response>) -> Reply {
-    if core.send(message).is_err() {
+async fn ask(core: &Core, what: Asked) -> Reply {
+    let (answer, response) = oneshot::channel();
+    if core.asks.send(Ask { arrived: Instant::now(), what, answer }).is_err() {
         return problem(503, "stopping");
     }
     match response.await {
--- a/crates/cleatfold/src/settings.rs
+++ b/crates/cleatfold/src/settings.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -59,6 +60,15 @@
     pub workers: Workers,
     pub state: State,
     pub cloud: Cloud,
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// What the machine allows; 0: not said.
+#[derive(Debug, Default, Deserialize)]
+pub struct Limits {
+    #[serde(default)]
+    pub max_sockets: u32,
 }
 
 impl TeamSettings {
@@ -246,6 +256,19 @@
         }
     }
 
+    /// Sockets that this process may have.
+    pub fn sockets(&self) -> usize {
+        match self.cluster.limits.max_sockets {
+            0 => 1024,
+            most => most as usize,
+        }
+    }
+
+    /// A connection that brings nothing for so long is closed. Workers come every `report_s`.
+    pub fn idle_connection(&self) -> Duration {
+        Duration::from_secs_f64((self.cluster.workers.report_s * 3.0).max(30.0))
+    }
+
     /// Our share of the state service's limits. More than an even share, for the load moves
     /// between nodes; the service's own 429 is the backstop.
     pub fn store_budget(&self) -> Budget {
