--- a/crates/cleatfold-clients/src/store.rs
+++ b/crates/cleatfold-clients/src/store.rs
@@ -1,10 +1,13 @@
 //! The state service's client: one actor per process, with a rate budget and lanes.
 //!
 //! Requests beyond the budget wait here, in the order of their lanes, instead of being
-//! refused there.
+//! refused there. What is refused all the same is tried again within a budget of retries, and
+//! while the service does not answer only readings and renewals, which see when it is back, go
+//! out: the rest would be refused there, and all of it at once when it returns.
 
 use crate::http::{Http, NoAnswer};
 use cleatfold_control::{Lane, StoreReply, StoreRequest};
+use cleatfold_door::{Backoff, Breaker, RetryBudget};
 use cleatfold_wire::store::{Events, Grant, Granted, Item, Page, Revision};
 use hyper::Method;
 use serde::de::DeserializeOwned;
@@ -41,8 +44,23 @@
 struct Waiting {
     rank: (Lane, u64),
     job: Job,
+    tries: u32,
 }
 
+/// What became of a call.
+struct Outcome {
+    answered: bool,
+    /// It was refused for the rate; with the number of tries so far.
+    again: Option<(Job, u32)>,
+}
+
+/// Failures in a row after which the service is taken for gone.
+const GONE_AFTER: u32 = 4;
+const GONE: Backoff = Backoff { first_ms: 200, most_ms: 1000 };
+/// Tries of a call that the rate refuses.
+const TRIES: u32 = 3;
+const BUSY: Backoff = Backoff { first_ms: 150, most_ms: 600 };
+
 impl PartialEq for Waiting {
     fn eq(&self, other: &Self) -> bool {
         self.rank == other.rank
@@ -80,17 +98,40 @@
     let mut changes = Bucket { level: budget.writes_per_s * 0.5, rate: budget.writes_per_s };
     let mut filled = Instant::now();
     let mut number = 0;
+    let (tell, mut told) = mpsc::unbounded_channel::<Outcome>();
+    let mut retries = RetryBudget::new(0.1, 10.0);
+    let mut breaker = Breaker::new(GONE_AFTER, GONE);
+    let start = Instant::now();
     loop {
+        let mut new: Vec<(Job, u32)> = Vec::new();
+        let mut outcomes: Vec<Outcome> = Vec::new();
         if waiting.is_empty() {
-            let Some(job) = queue.recv().await else {
-                return;
-            };
-            number += 1;
-            waiting.push(Reverse(Waiting { rank: (job.lane, number), job }));
+            tokio::select! {
+                job = queue.recv() => match job {
+                    Some(job) => new.push((job, 0)),
+                    None => return,
+                },
+                outcome = told.recv() => outcomes.extend(outcome),
+            }
+        }
+        while let Ok(outcome) = told.try_recv() {
+            outcomes.push(outcome);
+        }
+        let now_ms = start.elapsed().as_millis() as u64;
+        for outcome in outcomes {
+            breaker.note(now_ms, outcome.answered, &mut rand::rng());
+            match outcome.again {
+                Some((job, tries)) if tries <= TRIES && retries.take() => new.push((job, tries)),
+                Some((job, _)) => answer(job.op, StoreReply::Refused),
+                None => {}
+            }
         }
         while let Ok(job) = queue.try_recv() {
+            new.push((job, 0));
+        }
+        for (job, tries) in new {
             number += 1;
-            waiting.push(Reverse(Waiting { rank: (job.lane, number), job }));
+            waiting.push(Reverse(Waiting { rank: (job.lane, number), job, tries }));
         }
         let now = Instant::now();
         let passed = now.duration_since(filled).as_secs_f64();
@@ -111,7 +152,7 @@
                 job = queue.recv() => match job {
                     Some(job) => {
                         number += 1;
-                        waiting.push(Reverse(Waiting { rank: (job.lane, number), job }));
+                        waiting.push(Reverse(Waiting { rank: (job.lane, number), job, tries: 0 }));
                     }
                     None => return,
                 },
@@ -121,21 +162,56 @@
         let Some(Reverse(next)) = waiting.pop() else {
             continue;
         };
+        if next.job.lane > Lane::Renewal && breaker.is_open() && !breaker.admits(now_ms) {
+            // Certainly not executed; whoever asked knows when to come back.
+            answer(next.job.op, StoreReply::Refused);
+            continue;
+        }
         requests.level -= 1.0;
         changes.level -= cost;
-        let (http, answer) = (http.clone(), answer.clone());
+        retries.note_call();
+        let (http, answer, tell) = (http.clone(), answer.clone(), tell.clone());
         tokio::task::spawn_local(async move {
-            let reply = execute(&http, next.job.request).await;
-            answer(next.job.op, reply);
+            let Job { op, lane, request } = next.job;
+            let call = execute(&http, &request).await;
+            if matches!(call, Called::Busy) {
+                let pause = BUSY.pause_ms(next.tries, &mut rand::rng());
+                tokio::time::sleep(Duration::from_millis(pause)).await;
+                let again = Some((Job { op, lane, request }, next.tries + 1));
+                let _ = tell.send(Outcome { answered: true, again });
+                return;
+            }
+            let answered = !matches!(call, Called::Away | Called::Unknown);
+            let _ = tell.send(Outcome { answered, again: None });
+            answer(
+                op,
+                match call {
+                    Called::Answered(reply) => reply,
+                    Called::Busy | Called::Away => StoreReply::Refused,
+                    Called::Unknown if matches!(request, StoreRequest::Txn(_)) => {
+                        StoreReply::Unknown
+                    }
+                    Called::Unknown => StoreReply::Refused,
+                },
+            );
         });
     }
 }
 
+enum Called {
+    Answered(StoreReply),
+    /// Refused for the rate.
+    Busy,
+    /// Refused, or never sent: certainly not executed.
+    Away,
+    /// Perhaps executed, perhaps later.
+    Unknown,
+}
+
 const TIMEOUT: Duration = Duration::from_millis(1500);
 
-async fn execute(http: &Http, request: StoreRequest) -> StoreReply {
-    let write = matches!(request, StoreRequest::Txn(_));
-    let (method, path, body) = match &request {
+async fn execute(http: &Http, request: &StoreRequest) -> Called {
+    let (method, path, body) = match request {
         StoreRequest::Get(key) => (Method::GET, format!("/store/{key}"), None),
         StoreRequest::List { prefix, from } => {
             let from = from.as_ref().map(|f| format!("&from={f}")).unwrap_or_default();
@@ -152,28 +228,20 @@
             (Method::GET, format!("/follow?prefix={prefix}&from={from}&holdMs=0"), None)
         }
     };
-    let mut tries = 0;
-    loop {
-        let outcome = http.call(method.clone(), &path, body.clone(), TIMEOUT).await;
-        return match outcome {
-            Ok((200, body)) => read(&request, &body),
-            Ok((404, _)) => StoreReply::Missing,
-            Ok((409, body)) => match serde_json::from_slice::<Revision>(&body) {
-                Ok(revision) => StoreReply::Conflict(revision.failed),
-                Err(_) => StoreReply::Unknown,
-            },
-            Ok((410, _)) => StoreReply::TooOld,
-            Ok((429, _)) if tries < 3 => {
-                tries += 1;
-                tokio::time::sleep(Duration::from_millis(150 * tries)).await;
-                continue;
-            }
-            Ok((400, body)) => StoreReply::Bad(String::from_utf8_lossy(&body).into_owned()),
-            Ok((429 | 503, _)) | Err(NoAnswer::NotSent) => StoreReply::Refused,
-            Ok(_) | Err(NoAnswer::Unknown) if write => StoreReply::Unknown,
-            Ok(_) | Err(NoAnswer::Unknown) => StoreReply::Refused,
-        };
-    }
+    let reply = match http.call(method, &path, body, TIMEOUT).await {
+        Ok((200, body)) => read(request, &body),
+        Ok((404, _)) => StoreReply::Missing,
+        Ok((409, body)) => match serde_json::from_slice::<Revision>(&body) {
+            Ok(revision) => StoreReply::Conflict(revision.failed),
+            Err(_) => return Called::Unknown,
+        },
+        Ok((410, _)) => StoreReply::TooOld,
+        Ok((400, body)) => StoreReply::Bad(String::from_utf8_lossy(&body).into_owned()),
+        Ok((429, _)) => return Called::Busy,
+        Ok((503, _)) | Err(NoAnswer::NotSent) => return Called::Away,
+        Ok(_) | Err(NoAnswer::Unknown) => return Called::Unknown,
+    };
+    Called::Answered(reply)
 }
 
 fn read(request: &StoreRequest, body: &[u8]) -> StoreReply {
--- a/crates/cleatfold-control/src/config.rs
+++ b/crates/cleatfold-control/src/config.rs
@@ -70,6 +70,9 @@
 }
 
 impl Config {
+    /// Losses that a job's answer names; the team's log has more.
+    pub const LOSSES_TOLD: usize = 16;
+
     pub fn team(&self, name: &TeamId) -> Option<&Team> {
         self.teams.iter().find(|t| t.name == *name)
     }
--- a/crates/cleatfold-control/src/effects.rs
+++ b/crates/cleatfold-control/src/effects.rs
@@ -2,6 +2,7 @@
 
 use cleatfold_wire::cloud::{ListedMachine, MachineType, RentRequest};
 use cleatfold_wire::job::{JobSpec, JobStatus};
+use cleatfold_wire::losses::TeamLosses;
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::steps::{StepReply, StepReport};
 use cleatfold_wire::store::{Events, Item, Page, Txn};
@@ -15,6 +16,11 @@
     Poll(JobId),
     Withdraw(JobId),
     Ready,
+    /// What a team has lost, from a place in its log on.
+    TeamLosses {
+        team: TeamId,
+        since: u64,
+    },
     /// A member of an elastic job reports.
     Steps(Box<StepReport>),
 }
@@ -62,6 +68,7 @@
     },
     Ready,
     Steps(StepReply),
+    Losses(TeamLosses),
     Worker(ReportReply),
     /// 421; the worker should report there, or just elsewhere.
     Redirect(Option<NodeId>),
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -10,6 +10,7 @@
 use crate::steps::{can_gather, judge, Asked, Judged};
 use cleatfold_elastic::Verdict;
 use cleatfold_wire::job::{JobState, Kind, Urgency};
+use cleatfold_wire::losses::LossCause;
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::worker::Exit;
@@ -31,6 +32,21 @@
     pub fence: Option<(PoolId, Token)>,
 }
 
+impl End {
+    /// Whether a start was lost, and how: what a team wants to hear of.
+    fn loss(&self) -> Option<LossCause> {
+        match self.why {
+            _ if self.done => None,
+            "machine deleted" => Some(LossCause::Machine),
+            "lease ran out" => Some(LossCause::Lease),
+            "not there after take-over" => Some(LossCause::Vanished),
+            "error" => Some(LossCause::Failed),
+            // Stopped on purpose, or never begun.
+            _ => None,
+        }
+    }
+}
+
 /// Tasks to be claimed for one machine.
 #[derive(Clone, Debug)]
 pub(crate) struct Wish {
@@ -324,6 +340,10 @@
                 head_changed |= part.is_none();
                 claimed -= 1;
                 done += u32::from(end.done);
+                if let Some(cause) = end.loss() {
+                    let lost = (end.ix, end.attempt);
+                    table.losses.note(&end.machine, cause, self.wall_ms, lost);
+                }
                 if let Some((pool, token)) = &end.fence {
                     guard_pool(&mut txn, pool, *token);
                 }
@@ -457,6 +477,8 @@
             txn.guard(part_key(job, part), version);
             let (from, to) = record.part_range(part);
             if table.done_count() == to - from {
+                // The part's record goes; what it lost stays with the job.
+                record.table.losses.take(table.losses);
                 record.parts_done.push(part);
                 head_changed = true;
                 if version > Version(0) {
@@ -472,7 +494,12 @@
         let result = if over {
             let state = if finished { JobState::Done } else { JobState::Aborted };
             let done = record.spec.elastic.as_ref().map_or(done, |_| steps.finished);
-            let archive = ArchiveRecord { state, done, team: record.spec.team.clone() };
+            let mut losses = record.table.losses.clone();
+            for table in self.mirror.parts.get(job).into_iter().flat_map(|p| p.values()) {
+                losses.take(table.1.losses.clone());
+            }
+            let team = record.spec.team.clone();
+            let archive = ArchiveRecord { state, done, team, losses };
             txn.put(archive_key(job), &archive, None);
             txn.delete(job_key(job));
             Outcome::Ended(archive)
@@ -617,6 +644,7 @@
                 tracing::info!(job = %job, state = ?archive.state, "job ended");
                 state = archive.state;
                 done = archive.done;
+                self.find_ended_losses(&job, &archive);
                 self.terminal.insert(job.clone(), archive);
                 self.mirror.remove(&job_key(&job), version);
             }
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -57,6 +57,7 @@
         }
         if !self.is_leader() {
             self.leader_since = None;
+            self.forget_losses();
             return;
         }
         let since = *self.leader_since.get_or_insert_with(|| {
@@ -71,6 +72,7 @@
             self.rent();
         }
         self.clean_up();
+        self.keep_losses();
     }
 
     // ---- dealing ----
--- a/crates/cleatfold-control/src/mirror.rs
+++ b/crates/cleatfold-control/src/mirror.rs
@@ -9,7 +9,7 @@
 use cleatfold_plan::Resources;
 use cleatfold_wire::store::{Event, Item};
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 pub type PartMap = BTreeMap<u32, (Version, Table)>;
 pub type ProgressMap = BTreeMap<u32, (Version, Part)>;
@@ -117,6 +117,9 @@
     pub nodes: BTreeMap<NodeId, (u64, Version)>,
     pub leader: Option<(NodeId, Version)>,
     pub slices: BTreeMap<TeamId, (Version, SliceRecord)>,
+    pub loss_heads: BTreeMap<TeamId, (Version, LossHead)>,
+    /// Live jobs that have lost something.
+    pub lossy: BTreeSet<JobId>,
     /// All claims, by machine.
     pub claims: BTreeMap<MachineId, MachineClaims>,
     stamps: u64,
@@ -153,6 +156,7 @@
             Key::Pool(id) => self.pools.get(id).map(|p| Version(p.token.0)),
             Key::Node(id) => self.nodes.get(id).map(|n| n.1),
             Key::Slice(team) => self.slices.get(team).map(|s| s.0),
+            Key::LossHead(team) => self.loss_heads.get(team).map(|h| h.0),
             Key::Leader => self.leader.as_ref().map(|l| l.1),
         };
         live.or_else(|| self.removed.get(key).copied()).unwrap_or_default()
@@ -185,6 +189,9 @@
             Key::Slice(team) => serde_json::from_str(value).map(|r| {
                 self.slices.insert(team, (version, r));
             }),
+            Key::LossHead(team) => serde_json::from_str(value).map(|r| {
+                self.loss_heads.insert(team, (version, r));
+            }),
             Key::Leader => serde_json::from_str(value).map(|node| {
                 self.leader = Some((node, version));
             }),
@@ -204,6 +211,7 @@
                 if let Some(live) = self.jobs.remove(&id) {
                     self.elastic -= usize::from(live.record.spec.elastic.is_some());
                     self.unindex(&id, &live.record.table);
+                    self.lossy.remove(&id);
                     self.gone.push(id);
                 }
             }
@@ -236,6 +244,9 @@
             Key::Slice(team) => {
                 self.slices.remove(&team);
             }
+            Key::LossHead(team) => {
+                self.loss_heads.remove(&team);
+            }
             Key::Leader => self.leader = None,
         }
         if self.removed.insert(key.to_string(), version).is_none() {
@@ -255,6 +266,9 @@
         }
         self.elastic += usize::from(record.spec.elastic.is_some());
         self.index(&id, &record.table);
+        if !record.table.losses.is_empty() {
+            self.lossy.insert(id.clone());
+        }
         let each = record.each();
         let live = Live {
             record,
@@ -271,6 +285,9 @@
 
     pub fn install_part(&mut self, id: JobId, part: u32, table: Table, version: Version) {
         self.index_replacing(&id, part, &table);
+        if !table.losses.is_empty() {
+            self.lossy.insert(id.clone());
+        }
         self.parts.entry(id.clone()).or_default().insert(part, (version, table));
         self.recount(&id);
     }
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -52,6 +52,17 @@
         record: SliceRecord,
     },
     Cleanup,
+    /// What is in the teams' logs already.
+    LossLog,
+    /// A group of losses for a team's log.
+    LossGroup {
+        team: TeamId,
+        count: usize,
+        txn: Txn,
+    },
+    TeamLosses {
+        rid: u64,
+    },
     Types,
     List {
         sent: Ms,
@@ -152,6 +163,7 @@
     pub(crate) waiting: Vec<Waiting>,
     pub(crate) terminal: crate::requests::Terminal,
     pub(crate) archive: crate::archive::Lookups,
+    pub(crate) losses: crate::losses::Losses,
 
     pub(crate) fleet: Fleet,
     pub(crate) types_at: Option<Ms>,
@@ -236,6 +248,7 @@
             waiting: Vec::new(),
             terminal: Default::default(),
             archive: Default::default(),
+            losses: Default::default(),
             fleet: Fleet::default(),
             types_at: None,
             types_asked: false,
@@ -646,6 +659,11 @@
                 }
             }
             Pending::Slice { team, txn, record } => self.on_slice(op, team, txn, record, reply),
+            Pending::LossLog => self.on_loss_log(reply),
+            Pending::LossGroup { team, count, txn } => {
+                self.on_loss_group(op, team, count, txn, reply)
+            }
+            Pending::TeamLosses { rid } => self.on_team_losses_read(rid, reply),
             Pending::Cleanup => {
                 self.cleanup_inflight = false;
                 self.want_sync = true;
--- a/crates/cleatfold-control/src/records.rs
+++ b/crates/cleatfold-control/src/records.rs
@@ -5,6 +5,10 @@
 //! head names the parts that are complete. Ended jobs move to `ar/<job>`, outside of what
 //! nodes read at start and follow.
 
+mod losses;
+
+pub use losses::*;
+
 use cleatfold_plan::Resources;
 use cleatfold_wire::job::{JobSpec, JobState, JobStatus};
 use cleatfold_wire::*;
@@ -23,6 +27,7 @@
 const POOLS: &str = "cf/pool/";
 const NODES: &str = "cf/node/";
 const SLICES: &str = "cf/slice/";
+const LOSS_HEADS: &str = "cf/loss/";
 pub const LEADER: &str = "cf/leader";
 
 pub fn job_key(job: &JobId) -> String {
@@ -45,6 +50,9 @@
 pub fn node_key(node: &NodeId) -> String {
     format!("{NODES}{node}")
 }
+pub fn loss_head_key(team: &TeamId) -> String {
+    format!("{LOSS_HEADS}{team}")
+}
 pub fn slice_key(team: &TeamId) -> String {
     format!("{SLICES}{team}")
 }
@@ -58,6 +66,7 @@
     Pool(PoolId),
     Node(NodeId),
     Slice(TeamId),
+    LossHead(TeamId),
     Leader,
 }
 
@@ -76,6 +85,8 @@
         Some(Key::Node(NodeId::new(id)))
     } else if let Some(id) = key.strip_prefix(SLICES) {
         Some(Key::Slice(TeamId::new(id)))
+    } else if let Some(id) = key.strip_prefix(LOSS_HEADS) {
+        Some(Key::LossHead(TeamId::new(id)))
     } else if key == LEADER {
         Some(Key::Leader)
     } else {
@@ -115,6 +126,8 @@
     pub done: u32,
     #[serde(rename = "q")]
     pub team: TeamId,
+    #[serde(rename = "l", default, skip_serializing_if = "LossList::is_empty")]
+    pub losses: LossList,
 }
 
 /// The claims on one machine under one token.
@@ -140,6 +153,8 @@
     /// The highest attempt of tasks that are neither claimed nor done.
     #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub attempts: Vec<(TaskIx, Attempt)>,
+    #[serde(rename = "l", default, skip_serializing_if = "LossList::is_empty")]
+    pub losses: LossList,
 }
 
 impl Table {
@@ -275,7 +290,7 @@
 }
 
 pub fn status(id: &JobId, state: JobState, done: u32, running: u32) -> JobStatus {
-    JobStatus { id: id.clone(), state, done, running, why: None, steps: None }
+    JobStatus { id: id.clone(), state, done, running, why: None, steps: None, losses: None }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/cleatfold-control/src/records/losses.rs
@@ -0,0 +1,151 @@
+//! Losses as the records hold them.
+
+use crate::config::Config;
+use cleatfold_wire::losses::{JobLosses, Loss, LossCause};
+use cleatfold_wire::*;
+use serde::{Deserialize, Serialize};
+
+/// The teams' logs; outside of what nodes read at start and follow.
+pub const LOSS_LOG: &str = "lo/";
+
+pub fn loss_log_prefix(team: &TeamId) -> String {
+    format!("{LOSS_LOG}{team}/")
+}
+pub fn loss_log_key(team: &TeamId, number: u64) -> String {
+    format!("{LOSS_LOG}{team}/{number:010}")
+}
+
+/// How long a team's log is.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LossHead {
+    #[serde(rename = "n")]
+    pub next: u64,
+}
+
+/// What was lost with one machine at one time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Group {
+    #[serde(rename = "m")]
+    machine: MachineId,
+    #[serde(rename = "w")]
+    cause: LossCause,
+    #[serde(rename = "at")]
+    at_ms: u64,
+    #[serde(rename = "t")]
+    tasks: Vec<(TaskIx, Attempt)>,
+}
+
+/// The lost starts of a table's tasks: all counted, the latest kept.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LossList {
+    #[serde(rename = "n", default)]
+    pub total: u32,
+    #[serde(rename = "g", default)]
+    groups: Vec<Group>,
+}
+
+impl LossList {
+    /// Starts that are kept by name; a record that is full of claims still has room for them.
+    const KEPT: usize = 96;
+
+    pub fn is_empty(&self) -> bool {
+        self.total == 0
+    }
+
+    pub fn note(
+        &mut self,
+        machine: &MachineId,
+        cause: LossCause,
+        at_ms: u64,
+        task: (TaskIx, Attempt),
+    ) {
+        self.total += 1;
+        match self.groups.last_mut() {
+            Some(g) if g.machine == *machine && g.cause == cause && at_ms < g.at_ms + 1000 => {
+                g.tasks.push(task)
+            }
+            _ => self.groups.push(Group {
+                machine: machine.clone(),
+                cause,
+                at_ms,
+                tasks: vec![task],
+            }),
+        }
+        self.trim();
+    }
+
+    /// Adds what another table of the same job lost.
+    pub fn take(&mut self, other: LossList) {
+        self.total += other.total;
+        self.groups.extend(other.groups);
+        self.groups.sort_by_key(|g| g.at_ms);
+        self.trim();
+    }
+
+    fn trim(&mut self) {
+        let mut kept: usize = self.groups.iter().map(|g| g.tasks.len()).sum();
+        while kept > Self::KEPT {
+            let Some(oldest) = self.groups.first_mut() else { return };
+            oldest.tasks.remove(0);
+            kept -= 1;
+            if oldest.tasks.is_empty() {
+                self.groups.remove(0);
+            }
+        }
+    }
+
+    /// The kept ones by name, oldest first.
+    pub fn told<'a>(&'a self, job: &'a JobId) -> impl Iterator<Item = Loss> + 'a {
+        self.groups.iter().flat_map(move |g| {
+            g.tasks.iter().map(move |(ix, attempt)| Loss {
+                task: TaskId { job: job.clone(), ix: *ix },
+                attempt: *attempt,
+                machine: g.machine.clone(),
+                cause: g.cause,
+                at_ms: g.at_ms,
+            })
+        })
+    }
+
+    /// As part of a job's answer.
+    pub fn answer(&self, job: &JobId, again: bool) -> Option<JobLosses> {
+        (!self.is_empty()).then(|| {
+            let mut recent: Vec<Loss> = self.told(job).collect();
+            recent.drain(..recent.len().saturating_sub(Config::LOSSES_TOLD));
+            JobLosses { total: self.total, again, recent }
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn all_losses_are_counted_and_the_latest_kept() {
+        let mut list = LossList::default();
+        let job = JobId::new("run-000001");
+        for i in 0..300u32 {
+            let machine = MachineId::new(format!("vm-{:06}", i / 10));
+            list.note(
+                &machine,
+                LossCause::Machine,
+                1000 + u64::from(i / 10),
+                (TaskIx(i), Attempt(1)),
+            );
+        }
+        assert_eq!(list.total, 300);
+        let told: Vec<Loss> = list.told(&job).collect();
+        assert_eq!(told.len(), LossList::KEPT);
+        assert_eq!(told.last().unwrap().task.ix, TaskIx(299));
+        assert_eq!(told.last().unwrap().machine, MachineId::new("vm-000029"));
+        // Grouped by machine they are small: a record of 16 KiB holds them beside its claims.
+        assert!(serde_json::to_string(&list).unwrap().len() < 2048);
+        let mut other = LossList::default();
+        other.note(&MachineId::new("vm-1"), LossCause::Lease, 5, (TaskIx(7), Attempt(3)));
+        list.take(other);
+        assert_eq!(list.total, 301);
+        assert_eq!(list.answer(&job, true).unwrap().recent.len(), Config::LOSSES_TOLD);
+        assert!(LossList::default().answer(&job, true).is_none());
+    }
+}
--- a/crates/cleatfold-control/src/requests.rs
+++ b/crates/cleatfold-control/src/requests.rs
@@ -14,7 +14,7 @@
 /// Answers that are final may be kept: they never change. Bounded; the archive has them all.
 #[derive(Default)]
 pub(crate) struct Terminal {
-    states: BTreeMap<JobId, (JobState, u32)>,
+    states: BTreeMap<JobId, ArchiveRecord>,
     order: VecDeque<JobId>,
 }
 
@@ -22,7 +22,7 @@
     const KEPT: usize = 4000;
 
     pub fn insert(&mut self, job: JobId, archive: ArchiveRecord) {
-        if self.states.insert(job.clone(), (archive.state, archive.done)).is_none() {
+        if self.states.insert(job.clone(), archive).is_none() {
             self.order.push_back(job);
         }
         while self.order.len() > Self::KEPT {
@@ -33,7 +33,11 @@
     }
 
     pub fn get(&self, job: &JobId) -> Option<JobStatus> {
-        self.states.get(job).map(|(state, done)| status(job, *state, *done, 0))
+        self.states.get(job).map(|archive| {
+            let mut status = status(job, archive.state, archive.done, 0);
+            status.losses = archive.losses.answer(job, archive.state == JobState::Done);
+            status
+        })
     }
 }
 
@@ -73,6 +77,7 @@
                 None => self.wait(rid, job, Wait::Withdraw),
             },
             Request::Steps(report) => self.on_steps(rid, report),
+            Request::TeamLosses { team, since } => self.on_team_losses(rid, team, since),
             Request::Ready => unreachable!("answered above"),
         }
     }
@@ -166,6 +171,11 @@
             status.steps = Some(StepCount { finished, total: elastic.steps });
         }
         status.why = self.locals.get(job).and_then(|l| l.last_why.clone());
+        if self.mirror.lossy.contains(job) {
+            let mut losses = LossList::default();
+            self.mirror.tables(job).for_each(|t| losses.take(t.losses.clone()));
+            status.losses = losses.answer(job, state != JobState::Aborted);
+        }
         Some(status)
     }
 
@@ -243,7 +253,10 @@
 
     fn note_archived(&mut self, job: &JobId, record: &str) -> bool {
         match serde_json::from_str::<ArchiveRecord>(record) {
-            Ok(archive) => self.terminal.insert(job.clone(), archive),
+            Ok(archive) => {
+                self.find_ended_losses(job, &archive);
+                self.terminal.insert(job.clone(), archive);
+            }
             Err(error) => {
                 tracing::error!(job = %job, %error, "unreadable archive record");
                 return false;
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -200,6 +200,8 @@
     /// Bytes of records that they read, and changes that came above the service's limit.
     pub bytes_read: u64,
     pub refused_changes: u64,
+    /// Questions about single ended jobs.
+    pub archive_reads: u64,
     budget: (Ms, f64),
     pub asked: BTreeMap<(usize, u64), Asked>,
     pub next_rid: u64,
@@ -305,6 +307,7 @@
             busy: Default::default(),
             bytes_read: 0,
             refused_changes: 0,
+            archive_reads: 0,
             budget: (Ms(0), 0.0),
             asked: BTreeMap::new(),
             next_rid: 0,
@@ -563,6 +566,7 @@
         let now = self.now;
         match request {
             StoreRequest::Get(key) => {
+                self.archive_reads += 1;
                 self.store.get(&key).map_or(StoreReply::Missing, StoreReply::Item)
             }
             StoreRequest::List { prefix, from } => {
--- a/crates/cleatfold-wire/src/job.rs
+++ b/crates/cleatfold-wire/src/job.rs
@@ -1,6 +1,7 @@
 //! What users send and receive.
 
 use crate::ids::*;
+use crate::losses::JobLosses;
 use serde::{Deserialize, Serialize};
 
 /// A job may have no more tasks than this.
@@ -221,6 +222,9 @@
     /// Of an elastic job: its steps. Not part of the protocol.
     #[serde(rename = "etapes", default, skip_serializing_if = "Option::is_none")]
     pub steps: Option<StepCount>,
+    /// Starts of its tasks that were lost with their machines. Not part of the protocol.
+    #[serde(rename = "pertes", default, skip_serializing_if = "Option::is_none")]
+    pub losses: Option<JobLosses>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/cleatfold-wire/src/lib.rs
+++ b/crates/cleatfold-wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cloud;
 pub mod ids;
 pub mod job;
+pub mod losses;
 pub mod mesh;
 pub mod name;
 pub mod steps;
--- a/crates/cleatfold/src/serve.rs
+++ b/crates/cleatfold/src/serve.rs
@@ -7,7 +7,7 @@
 use cleatfold_wire::job::{is_job_id, JobSpec, Problem, SpecError, MAX_BODY};
 use cleatfold_wire::steps::StepReport;
 use cleatfold_wire::worker::{RawReport, Redirect};
-use cleatfold_wire::JobId;
+use cleatfold_wire::{JobId, TeamId};
 use futures_util::{Stream, StreamExt};
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -117,12 +117,20 @@
     fn routes(self) -> impl Filter<Extract = (Reply,), Error = Infallible> + Clone {
         warp::method()
             .and(warp::path::full())
+            .and(warp::query::raw().or(warp::any().map(String::new)).unify())
             .and(warp::header::optional::<u64>("content-length"))
             .and(warp::body::stream())
             .and(warp::any().map(move || self.clone()))
-            .then(|method: Method, path: FullPath, length: Option<u64>, body, visit: Visit| async move {
-                visit.answer(method, path, length, body).await
-            })
+            .then(
+                |method: Method,
+                 path: FullPath,
+                 query: String,
+                 length: Option<u64>,
+                 body,
+                 visit: Visit| async move {
+                    visit.answer(method, path, query, length, body).await
+                },
+            )
             .recover(|refusal: warp::Rejection| async move {
                 // Only a content-length that is no number comes here.
                 Ok::<_, Infallible>(problem(400, &format!("{refusal:?}")))
@@ -134,6 +142,7 @@
         &self,
         method: Method,
         path: FullPath,
+        query: String,
         length: Option<u64>,
         body: impl Stream<Item = Result<B, warp::Error>>,
     ) -> Reply {
@@ -145,7 +154,7 @@
         }
         let _ = self.news.send(News::Began { id: self.id, worker: path == "/hello" });
         let reply = match read_body(length, body).await {
-            Ok(body) => route(&method, path, &body, &self.core).await,
+            Ok(body) => route(&method, path, &query, &body, &self.core).await,
             Err(refusal) => refusal,
         };
         let _ = self.news.send(News::Ended { id: self.id });
@@ -193,11 +202,11 @@
     Ok(all.freeze())
 }
 
-async fn route(method: &Method, path: &str, body: &[u8], core: &Core) -> Reply {
+async fn route(method: &Method, path: &str, query: &str, body: &[u8], core: &Core) -> Reply {
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     let wanted = match parts.as_slice() {
         ["v1", "jobs"] | ["v1", "jobs", _, "withdraw" | "steps"] | ["hello"] => Method::POST,
-        ["v1", "jobs", _] | ["ready"] => Method::GET,
+        ["v1", "jobs", _] | ["v1", "teams", _, "losses"] | ["ready"] => Method::GET,
         _ => return problem(404, "no such path"),
     };
     if method != wanted {
@@ -217,6 +226,12 @@
             Err(error @ SpecError::TooLong) => problem(413, &error.to_string()),
             Err(error) => problem(400, &error.to_string()),
         },
+        ["v1", "teams", team, _] => match since(query) {
+            Some(since) => {
+                ask_core(core, Request::TeamLosses { team: TeamId::new(team), since }).await
+            }
+            None => problem(400, "since: not a number"),
+        },
         ["v1", "jobs", id, ..] if !is_job_id(id) => problem(404, "no such job"),
         ["v1", "jobs", id] => ask_core(core, Request::Poll(JobId::new(id))).await,
         ["v1", "jobs", id, "steps"] => match StepReport::from_json(&JobId::new(id), body) {
@@ -228,6 +243,12 @@
     }
 }
 
+/// Where in its log a team has got to; from the start without a word on it.
+fn since(query: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(name, _)| *name == "since").map_or(Some(0), |(_, number)| number.parse().ok())
+}
+
 async fn ask_core(core: &Core, request: Request) -> Reply {
     ask(core, Asked::Request(request)).await
 }
@@ -255,6 +276,7 @@
         }
         Response::Ready => json(200, &serde_json::json!({ "ready": true })),
         Response::Steps(reply) => json(200, &reply),
+        Response::Losses(told) => json(200, &told),
         Response::Worker(reply) => json(200, &reply),
         Response::Redirect(report_to) => json(421, &Redirect { report_to }),
     }
