--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -18,8 +18,6 @@
 const CHUNKS: usize = 400;
 const PLAN_MS: u64 = 100;
 const PROMISE_MS: u64 = 500;
-/// What it takes to record a claim before it can be ordered.
-const CLAIM_MS: u64 = 300;
 /// A promise not renewed for so long is forgotten.
 const PROMISE_AGE_MS: u64 = 3000;
 
@@ -223,7 +221,6 @@
                     MachineChart::new(booted.max(now.plus(2000)), total, m.spot, false)
                 }
             };
-            chart.orders_at = self.orders_at(id, m);
             chart.fetch_gb_per_s = kind.fetch_gb_per_s;
             let price = if m.spot { kind.spot_price } else { kind.price };
             chart.cost = (price / kind.cpus.max(0.001) * 1e6) as u64;
@@ -258,17 +255,6 @@
         (ids, charts)
     }
 
-    /// When a machine can next be told to start something: at once where its report waits for
-    /// an answer, else at its next report. (All idle machines were the same to the plan, and a
-    /// task that was given the wrong one began half a report's interval later.)
-    fn orders_at(&self, id: &MachineId, machine: &Machine) -> Ms {
-        let Some(report) = &machine.report else { return Ms(0) };
-        match self.held.get(id) {
-            Some(held) if held.until > self.now.plus(CLAIM_MS) => Ms(0),
-            _ => report.at.plus(self.cfg.report_ms).max(self.now.plus(CLAIM_MS)),
-        }
-    }
-
     fn run_ms(&self, live: &Live) -> u64 {
         if live.record.spec.kind == Kind::Service {
             return FOREVER;
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -23,7 +23,7 @@
     rid: u64,
     pool: PoolId,
     token: Token,
-    pub until: Ms,
+    until: Ms,
 }
 
 /// How a worker that cannot reach its owner shows: it comes to us again and again.
--- a/crates/cleatfold-plan/src/chart.rs
+++ b/crates/cleatfold-plan/src/chart.rs
@@ -19,9 +19,6 @@
     pub spot: bool,
     /// May start tasks at once. A machine that is still booting has a chart but is not open.
     pub open: bool,
-    /// No order reaches the machine before this: its next report is a while off. What is
-    /// started earlier begins then.
-    pub orders_at: Ms,
     /// Images here, and when each is (or is expected to be) ready.
     pub images: Vec<(ImageId, Ms)>,
     pub fetch_gb_per_s: f64,
@@ -38,7 +35,6 @@
             steps: vec![(ready, total)],
             spot,
             open,
-            orders_at: Ms(0),
             images: Vec::new(),
             fetch_gb_per_s: 1.0,
             cost: 0,
@@ -123,7 +119,6 @@
 
     /// When a task started at `start` is expected to end: image first, then the work.
     fn finish(&self, request: &Request, image: Option<Ms>, start: Ms) -> Ms {
-        let start = start.max(self.orders_at);
         let fetched = start.plus_s(request.image_gb / self.fetch_gb_per_s.max(0.001));
         let ready = match image {
             Some(ready) => fetched.min(start.max(ready)),
