--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -227,6 +227,7 @@
             chart.images = m.images.iter().map(|(image, _)| (image.clone(), now)).collect();
             // Claims come sorted by job: one look-up serves all of a job's.
             let mut known: Option<(&JobId, &Live, Option<&Local>)> = None;
+            let mut noted: Option<&JobId> = None;
             for ((job, ix), claim) in self.mirror.claims.get(id).into_iter().flatten() {
                 let (live, local) = match known {
                     Some((last, live, local)) if last == job => (live, local),
@@ -244,10 +245,11 @@
                 let end = self.expected_end(id, m, (job, *ix), live, local);
                 chart.carve(now, end, live.each);
                 let image = &live.record.spec.image;
-                if !chart.images.iter().any(|(i, _)| i == image) {
+                if noted != Some(job) && !chart.images.iter().any(|(i, _)| i == image) {
                     let ready = now.plus_s(live.record.spec.image_gb / kind.fetch_gb_per_s);
                     chart.images.push((image.clone(), ready));
                 }
+                noted = Some(job);
             }
             ids.push((*id).clone());
             charts.push(chart);
--- a/crates/cleatfold-control/src/shrink.rs
+++ b/crates/cleatfold-control/src/shrink.rs
@@ -113,6 +113,7 @@
         if !self.cfg.preempt && self.mirror.progress.is_empty() && !self.mirror.any_elastic() {
             return;
         }
+        let elastic = self.mirror.any_elastic();
         for plan in plans {
             let waits = self.waits(plan);
             if waits.is_empty() {
@@ -121,6 +122,11 @@
             let mut seats: Option<(Vec<Seat>, Vec<Named>)> = None;
             for wait in waits {
                 let Some((need, save_ms)) = self.need(plan, &wait, within) else { continue };
+                // Nobody could be stopped for it. (Every waiting job looked through a copy of all
+                // that runs in the pool, the larger part of planning in a full region.)
+                if !need.preempts && !elastic {
+                    continue;
+                }
                 let tasks = self.part_here(plan, &wait);
                 if tasks == 0 {
                     continue;
