A team that has heard all its losses goes on from there; a freeze is no pressure; two incidents

Change: the page's next number is at least what was asked with; a tick later than 4 s counts as no load, and those whose askers left meanwhile are sent off before the age of the oldest is looked at. Tests: the losses test resumes by page; the freeze is pinned.

--- a/crates/cleatfold-control/src/losses.rs
+++ b/crates/cleatfold-control/src/losses.rs
@@ -183,14 +183,19 @@
         }
         let prefix = loss_log_prefix(&team);
         let from = since.checked_sub(1).map(|last| loss_log_key(&team, last));
-        self.store(Lane::Poll, StoreRequest::List { prefix, from }, Pending::TeamLosses { rid });
+        self.store(
+            Lane::Poll,
+            StoreRequest::List { prefix, from },
+            Pending::TeamLosses { rid, since },
+        );
     }
 
-    pub(crate) fn on_team_losses_read(&mut self, rid: u64, reply: StoreReply) {
+    pub(crate) fn on_team_losses_read(&mut self, rid: u64, since: u64, reply: StoreReply) {
         let StoreReply::Page(page) = reply else {
             return self.reply(rid, Response::later("the state service does not answer"));
         };
-        let mut told = TeamLosses { losses: Vec::new(), next: 0, more: page.more };
+        // Whoever has heard all goes on from where he was.
+        let mut told = TeamLosses { losses: Vec::new(), next: since, more: page.more };
         for item in &page.items {
             // No line of an answer may be longer than the protocol allows.
             if told.losses.len() >= 4 * GROUP {
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -62,6 +62,7 @@
     },
     TeamLosses {
         rid: u64,
+        since: u64,
     },
     Types,
     List {
@@ -663,7 +664,7 @@
             Pending::LossGroup { team, count, txn } => {
                 self.on_loss_group(op, team, count, txn, reply)
             }
-            Pending::TeamLosses { rid } => self.on_team_losses_read(rid, reply),
+            Pending::TeamLosses { rid, since } => self.on_team_losses_read(rid, since, reply),
             Pending::Cleanup => {
                 self.cleanup_inflight = false;
                 self.want_sync = true;
--- a/crates/cleatfold-control/tests/losses.rs
+++ b/crates/cleatfold-control/tests/losses.rs
@@ -1,7 +1,8 @@
 //! Nothing vanishes: what falls with its machine is told, by its job and in its team's log.
 
 use cleatfold_control::records::{loss_log_prefix, ArchiveRecord};
-use cleatfold_lab::world::{Happens, Size, World, NODES};
+use cleatfold_control::Request;
+use cleatfold_lab::world::{Asked, Happens, Size, World, NODES};
 use cleatfold_wire::losses::Loss;
 use cleatfold_wire::{Attempt, JobId, Ms, TaskId, TeamId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,6 +15,26 @@
     items.iter().flat_map(|i| group(i.value.get())).collect()
 }
 
+/// A team that asks on from where it was hears each group once, and the end is the end.
+fn resumes(world: &mut World) {
+    for team in ["free", "tight"] {
+        let mut heard = Vec::new();
+        let mut since = 0;
+        for _ in 0..3 {
+            world.team_losses = None;
+            let request = Request::TeamLosses { team: TeamId::new(team), since };
+            world.ask(0, Asked::TeamLosses, request);
+            let now = world.now;
+            world.run(now.plus(500));
+            let told = world.team_losses.take().expect("an answer");
+            assert!(told.next >= since, "never back");
+            since = told.next;
+            heard.extend(told.losses);
+        }
+        assert_eq!(heard, log(world, team));
+    }
+}
+
 /// A third of the machines and all controllers fall within the same second.
 #[test]
 fn every_run_that_was_lost_is_told_to_its_team_even_when_all_fall_together() {
@@ -62,5 +83,6 @@
             assert!(own.into_iter().all(|l| named.contains(l)), "{job}");
         }
         assert!(world.broken.is_empty(), "{:#?}", world.broken);
+        resumes(&mut world);
     }
 }
--- a/crates/cleatfold-door/src/pressure.rs
+++ b/crates/cleatfold-door/src/pressure.rs
@@ -32,8 +32,9 @@
 const LEFT: f64 = 0.6;
 /// Lateness is forgotten by half in so many milliseconds.
 const HALF_MS: f64 = 1000.0;
-/// No more than this counts: a process that was frozen is not overloaded when it goes on.
-const MOST_MS: u64 = 4000;
+/// A tick that is later than this is no load: the process was frozen, and goes on. (It passed for
+/// drowning once, and refused nearly every poll for a second.)
+const FROZEN_MS: u64 = 4000;
 
 impl Pressure {
     /// A tick came `late_ms` after its time; the oldest request has waited `oldest_ms`.
@@ -41,7 +42,8 @@
         let passed = now.saturating_sub(self.at) as f64;
         self.at = now;
         self.late *= 0.5f64.powf(passed / HALF_MS);
-        let seen = late_ms.max(oldest_ms / 2).min(MOST_MS) as f64;
+        let late_ms = if late_ms > FROZEN_MS { 0 } else { late_ms };
+        let seen = late_ms.max(oldest_ms / 2).min(FROZEN_MS) as f64;
         // A single late tick is a hiccup; it counts in full only if it goes on.
         self.late = self.late.max(seen * 0.5 + self.late * 0.5);
         let reached = |factor: f64| {
--- a/crates/cleatfold-door/tests/parts.rs
+++ b/crates/cleatfold-door/tests/parts.rs
@@ -18,8 +18,7 @@
         pressure.level()
     };
     assert_eq!(go(&mut pressure, 5, 40), Level::Calm);
-    assert!(go(&mut pressure, 30_000, 1) <= Level::Drowning);
-    assert_eq!(go(&mut pressure, 0, 200), Level::Calm, "a freeze is forgotten");
+    assert_eq!(go(&mut pressure, 30_000, 1), Level::Calm, "a freeze is no load");
     assert_eq!(go(&mut pressure, 300, 20), Level::Busy);
     assert_eq!(pressure.polls_refused(), 0.0);
     assert_eq!(go(&mut pressure, 900, 20), Level::Strained);
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -14,6 +14,7 @@
 use cleatfold_standin::worker::{Happening, Worker};
 use cleatfold_wire::cloud::MachineType;
 use cleatfold_wire::job::{JobSpec, JobState, Kind, Urgency};
+use cleatfold_wire::losses::TeamLosses;
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::steps::StepReport;
 use cleatfold_wire::store::Txn;
@@ -163,6 +164,7 @@
     Withdraw(JobId),
     Report(MachineId, Ms, u64, u64),
     Steps(MachineId, MemberKey, u64),
+    TeamLosses,
 }
 
 pub struct World {
@@ -202,6 +204,8 @@
     pub refused_changes: u64,
     /// Questions about single ended jobs.
     pub archive_reads: u64,
+    /// The last answer to a team that asked for its losses.
+    pub team_losses: Option<TeamLosses>,
     budget: (Ms, f64),
     pub asked: BTreeMap<(usize, u64), Asked>,
     pub next_rid: u64,
@@ -308,6 +312,7 @@
             bytes_read: 0,
             refused_changes: 0,
             archive_reads: 0,
+            team_losses: None,
             budget: (Ms(0), 0.0),
             asked: BTreeMap::new(),
             next_rid: 0,
--- a/crates/cleatfold-lab/src/world/users.rs
+++ b/crates/cleatfold-lab/src/world/users.rs
@@ -14,6 +14,11 @@
                 let response = Some(response);
                 self.at(delay, Happens::MemberTold { machine, key, number, response });
             }
+            Some(Asked::TeamLosses) => {
+                if let Response::Losses(told) = response {
+                    self.team_losses = Some(told);
+                }
+            }
             Some(asked) if self.cut[node] <= self.now => self.judge_answer(asked, response),
             _ => {}
         }
--- a/crates/cleatfold/src/actor.rs
+++ b/crates/cleatfold/src/actor.rs
@@ -248,12 +248,12 @@
 
     fn tick(&mut self, late: Duration) {
         let now = self.millis(Instant::now());
-        self.pressure.note(now, late.as_millis() as u64, self.desk.oldest_ms(now));
         for (class, ask) in self.desk.expired(now) {
             // Its asker has left, or will have before an answer could be there.
             tracing::debug!(?class, "too late to answer");
             self.turn_away(ask);
         }
+        self.pressure.note(now, late.as_millis() as u64, self.desk.oldest_ms(now));
         if self.pressure.level() != self.told {
             self.told = self.pressure.level();
             tracing::info!(level = ?self.told, waiting = self.desk.len(), "pressure");
