A connection told to leave gives its seat up at once

Cause, by reading: in a burst of new connections each chose the same idle one to leave until that had closed, so the table grew past its bound into the sockets that are kept for the state service. Change: the seat is free when its connection is told.

--- a/crates/cleatfold/src/serve.rs
+++ b/crates/cleatfold/src/serve.rs
@@ -74,6 +74,9 @@
                     tokio::task::spawn_local(visit.run(stream, told_to));
                     if let Some(other) = leaves {
                         tracing::debug!(seats = seats.len(), "no sockets left: closing one");
+                        // Its seat is free at once: the next one that comes in the same burst
+                        // must not choose it again, or the sockets kept back would go too.
+                        seats.close(other);
                         leave.remove(&other);
                     }
                 }
