A team's limit is a resource in the plan: a team at its limit blocks nobody

Cause: reservations were planned for all tasks of a job and the limit was looked at only when a start was due.

Ruled out: the limit over all pools (each pool would reserve all that comes back to the team anywhere, six times too much). A pool plans with its own durable part, and with what is nobody's.

Change: cleatfold-plan gets Timeline (machines and limits alike); plan() takes limits; at most 48 reservations ahead for one limit. Parts are kept for what is reserved to start within 10 s. Nothing is rented and no idle machine kept for what waits for a limit alone. The parts of limits move from leader.rs and schedule.rs to limits.rs with their own state (four fields less in Node).

--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -560,7 +560,7 @@
                     if tx.doubtful {
                         // It may have been executed after all: its claims count against the
                         // team's limit, but only the next reading shows them.
-                        self.limits_blind = Some(now);
+                        self.limits.blind = Some(now);
                     }
                 }
                 let contact = self.in_contact();
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -11,9 +11,8 @@
 use crate::records::*;
 use crate::schedule::Queued;
 use cleatfold_plan::pools::{choose, Load};
-use cleatfold_plan::Resources;
 use cleatfold_wire::cloud::{ListedMachine, MachineState, RentRequest};
-use cleatfold_wire::job::Kind;
+use cleatfold_wire::job::{JobSpec, Kind};
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
@@ -36,8 +35,10 @@
     token: Token,
     since: Ms,
     boot_ms: u64,
-    /// Whether a waiting job may use its ordinary and its cheap machines.
-    useful: [bool; 2],
+    /// Of one machine.
+    cpus: f64,
+    /// Processors that waiting jobs may use of its ordinary and of its cheap machines.
+    useful: [f64; 2],
 }
 
 impl Node {
@@ -310,6 +311,9 @@
         if self.rent_inflight >= RENTS || self.list_at.is_none() {
             return;
         }
+        let usual_wait_s = self.cfg.usual_wait_s;
+        let stays = |spec: &JobSpec| (0.5 * spec.estimate_s / usual_wait_s).min(1.0);
+        let mut rooms = self.team_rooms(|live| stays(&live.record.spec));
         let mut supply: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
         for (id, m) in &self.fleet.machines {
             if !m.takes_work() {
@@ -319,7 +323,7 @@
             for ((job, _), _) in self.mirror.claims.get(id).into_iter().flatten() {
                 if let Some(live) = self.mirror.jobs.get(job) {
                     let spec = &live.record.spec;
-                    free -= spec.cpus * (0.5 * spec.estimate_s / self.cfg.usual_wait_s).min(1.0);
+                    free -= spec.cpus * stays(spec);
                 }
             }
             *supply.entry((m.pool.clone(), m.spot)).or_default() += free.max(0.0);
@@ -336,6 +340,11 @@
             let run = if spec.kind == Kind::Array { spec.estimate_s.max(1.0) } else { target };
             let all = f64::from(unclaimed) * spec.cpus;
             let mut lack = all.min(all * run / target).max(spec.cpus);
+            // Nothing is rented for what its team's limit will not let start.
+            if let Some(room) = rooms.get_mut(&spec.team) {
+                lack = lack.min(*room).max(0.0);
+                *room -= lack;
+            }
             // Of a spread job, each zone can take only half.
             let mut zones: BTreeMap<ZoneId, f64> = BTreeMap::new();
             let per_zone = if spec.spread { all / 2.0 + spec.cpus } else { f64::INFINITY };
@@ -622,23 +631,35 @@
         let mut turned_silent = false;
         let idle_limit = (self.cfg.idle_return_s * 1000.0) as u64;
         let mut pools: BTreeMap<PoolId, OwnPool> = BTreeMap::new();
+        let rooms = self.team_rooms(|_| 1.0);
         for (pool, &(token, since)) in &self.owned_since {
             let useful = |spot: bool| {
-                self.mirror.jobs.values().any(|j| {
-                    !j.record.aborted
-                        && j.unclaimed() > 0
-                        && (!spot || j.record.spec.spot)
-                        && self.may_use(j, pool)
-                })
+                let mut teams: BTreeMap<&TeamId, f64> = BTreeMap::new();
+                for j in self.mirror.jobs.values() {
+                    let spec = &j.record.spec;
+                    let waits = !j.record.aborted && j.unclaimed() > 0 && (!spot || spec.spot);
+                    if !waits || !self.may_use(j, pool) {
+                        continue;
+                    }
+                    // What waits for its team's limit alone keeps no idle machine. (Hundreds
+                    // stood idle for a team that could not start anything.)
+                    if !rooms.contains_key(&spec.team) {
+                        return f64::INFINITY;
+                    }
+                    *teams.entry(&spec.team).or_default() += spec.cpus * f64::from(j.unclaimed());
+                }
+                teams.into_iter().map(|(team, waits)| waits.min(rooms[team]).max(0.0)).sum()
             };
             let kind = self.fleet.types.get(&pool.machine_type);
             let boot_ms = kind.map_or(60_000.0, |t| t.boot_s * 1000.0) as u64;
-            let own = OwnPool { token, since, boot_ms, useful: [useful(false), useful(true)] };
+            let cpus = kind.map_or(1.0, |t| t.cpus);
+            let useful = [useful(false), useful(true)];
+            let own = OwnPool { token, since, boot_ms, cpus, useful };
             pools.insert(pool.clone(), own);
         }
         let claims = &self.mirror.claims;
         for (id, m) in &mut self.fleet.machines {
-            let Some(own) = pools.get(&m.pool).filter(|_| !m.deleting) else { continue };
+            let Some(own) = pools.get_mut(&m.pool).filter(|_| !m.deleting) else { continue };
             if m.listed == Some(MachineState::Failed) {
                 delete.push(id.clone());
                 continue;
@@ -687,7 +708,9 @@
                 continue;
             }
             let idle_since = *m.idle_since.get_or_insert(now);
-            let useless = !own.useful[usize::from(m.spot)];
+            let useful = &mut own.useful[usize::from(m.spot)];
+            let useless = *useful <= 0.0;
+            *useful -= own.cpus;
             let unused = now.since(idle_since) > idle_limit && useless;
             if m.draining || unused {
                 delete.push(id.clone());
@@ -775,103 +798,6 @@
         }
     }
 
-    // ---- slices of the teams' limits ----
-
-    /// Moves what our pools may use of limited teams' limits. Only a pool's owner changes the
-    /// pool's part, guarded by the pool's version; so the parts never add up to more than the
-    /// limit, and what a pool uses never exceeds its part. A pool asks only for what it could
-    /// start right now: asking for all that waits let a pool whose machines the waiting jobs
-    /// could not use keep the whole limit, and the team stood still.
-    pub(crate) fn keep_slices(&mut self) {
-        if self.now.since(self.slices_at) < 250 || !self.in_contact() {
-            return;
-        }
-        self.slices_at = self.now;
-        if self.limits_blind.is_some() {
-            return;
-        }
-        let usage = self.limited_usage();
-        let sizes = self.fleet.sizes();
-        let own: Vec<(PoolId, Token, Resources)> = self
-            .owned_since
-            .iter()
-            .filter(|(p, _)| !self.hinted.contains_key(p))
-            .map(|(p, o)| {
-                let n = sizes.get(p).copied().unwrap_or(0) as u32;
-                (p.clone(), o.0, self.fleet.total(&p.machine_type).times(n))
-            })
-            .collect();
-        let teams: Vec<crate::config::Team> =
-            self.cfg.teams.iter().filter(|t| t.is_limited()).cloned().collect();
-        for team in teams {
-            if self.slices_inflight.contains(&team.name) {
-                continue;
-            }
-            let (version, record) = self.mirror.slices.get(&team.name).cloned().unwrap_or_default();
-            let max = Resources::new(team.cpus_max, team.gpus_max, 0.0);
-            let taken = record.pools.values().fold((0, 0), |a, s| (a.0 + s.0, a.1 + s.1));
-            let mut free = (max.cpus - taken.0, max.gpus - taken.1);
-            let mut new = record.clone();
-            let mut txn = Txn::default();
-            for (pool, token, capacity) in &own {
-                let used =
-                    usage.get(&(team.name.clone(), pool.clone())).copied().unwrap_or_default();
-                let asked =
-                    self.short.get(&(team.name.clone(), pool.clone())).copied().unwrap_or_default();
-                let old = record.pools.get(pool).copied().unwrap_or_default();
-                let part = (
-                    resize(old.0, used.cpus, asked.cpus, capacity.cpus, &mut free.0, max.cpus),
-                    resize(old.1, used.gpus, asked.gpus, capacity.gpus, &mut free.1, max.gpus),
-                );
-                if part != old {
-                    new.pools.insert(pool.clone(), part);
-                    txn.guard(pool_key(pool), Version(token.0));
-                }
-            }
-            if new == record {
-                continue;
-            }
-            new.pools.retain(|_, s| *s != (0, 0));
-            txn.guard(slice_key(&team.name), version);
-            txn.put(slice_key(&team.name), &new, None);
-            self.slices_inflight.insert(team.name.clone());
-            let request = StoreRequest::Txn(txn.clone());
-            let pending = Pending::Slice { team: team.name, txn, record: new };
-            self.store(Lane::Claim, request, pending);
-        }
-    }
-
-    pub(crate) fn on_slice(
-        &mut self,
-        op: u64,
-        team: TeamId,
-        txn: Txn,
-        record: SliceRecord,
-        reply: StoreReply,
-    ) {
-        match reply {
-            StoreReply::Committed(version) => {
-                self.slices_inflight.remove(&team);
-                let current = self.mirror.slices.get(&team).map(|s| s.0).unwrap_or_default();
-                if current < version {
-                    self.mirror.slices.insert(team, (version, record));
-                }
-                self.dirty = true;
-            }
-            // It may yet be executed: until that is decided, nothing is claimed by it.
-            StoreReply::Unknown | StoreReply::Refused => {
-                let request = txn.clone();
-                self.again(op, Lane::Claim, request, Pending::Slice { team, txn, record }, 300);
-            }
-            _ => {
-                // What stands is known after the next reading; until then it counts as blind.
-                self.slices_inflight.remove(&team);
-                self.limits_blind = Some(self.now);
-                self.want_sync = true;
-            }
-        }
-    }
-
     /// Parts whose job is gone are removed a few at a time.
     fn clean_up(&mut self) {
         if self.cleanup_inflight || !self.in_contact() {
@@ -907,23 +833,3 @@
         }
     }
 }
-
-/// A pool's new part of a limit (`max` 0: there is none).
-fn resize(old: i64, used: i64, asked: i64, capacity: i64, free: &mut i64, max: i64) -> i64 {
-    if max == 0 {
-        return 0;
-    }
-    let want = (used + asked).min(capacity.max(used));
-    if want > old && *free > 0 {
-        // All that the pool can hold at once, so that it need not ask again.
-        let grow = (capacity.max(want) - old).min(*free).max(0);
-        *free -= grow;
-        return old + grow;
-    }
-    // Others are short: give back what is not used or asked for.
-    if old > want && *free < max / 8 {
-        *free += old - want;
-        return want.max(used);
-    }
-    old
-}
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod jobs;
 mod leader;
+mod limits;
 mod losses;
 mod mirror;
 mod node;
--- /dev/null
+++ b/crates/cleatfold-control/src/limits.rs
@@ -0,0 +1,339 @@
+//! The parts of the teams' limits: what our pools may use of them, and what of that is left.
+//!
+//! Only a pool's owner changes the pool's part, guarded by the pool's version; so the parts never
+//! add up to more than the limit, and what a pool uses never exceeds its part.
+
+use crate::effects::*;
+use crate::mirror::Live;
+use crate::node::{Node, Pending};
+use crate::records::*;
+use crate::schedule::PoolPlan;
+use cleatfold_plan::chart::FOREVER;
+use cleatfold_plan::{Resources, Timeline};
+use cleatfold_wire::store::Txn;
+use cleatfold_wire::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub(crate) type Usage = BTreeMap<(TeamId, PoolId), Resources>;
+
+/// A part is kept for what a pool has reserved to start within this time.
+const KEEP_MS: u64 = 10_000;
+
+#[derive(Debug, Default)]
+pub(crate) struct Limits {
+    pub inflight: BTreeSet<TeamId>,
+    pub looked: Ms,
+    /// What the last planning could have started but for the pool's part of a team's limit.
+    pub short: Usage,
+    /// What it reserved to start soon: a part is not given back for that.
+    pub soon: Usage,
+    /// Claims may stand that we have not read yet; no claim for a limited team until we have.
+    pub blind: Option<Ms>,
+}
+
+/// A limit that a pool's machines could exceed, and what is left of it there.
+pub(crate) struct Binding {
+    pub team: TeamId,
+    left: Resources,
+    /// What comes back to it, by the second from now in which its tasks are expected to end.
+    back: BTreeMap<u64, Resources>,
+}
+
+impl Binding {
+    /// A task of the team in this pool is expected to end.
+    pub fn ends(&mut self, now: Ms, end: Ms, each: Resources) {
+        if end.0 < FOREVER {
+            *self.back.entry(end.since(now).div_ceil(1000)).or_default() += each;
+        }
+    }
+
+    pub fn over_time(self, now: Ms) -> (TeamId, Timeline) {
+        let back = self.back.into_iter().map(|(s, what)| (now.plus(s * 1000), what));
+        (self.team, Timeline::growing(now, self.left, back))
+    }
+}
+
+impl Node {
+    /// What limited teams use in our pools: every claim counts until it is proven over, and
+    /// so does every claim that is on its way.
+    pub(crate) fn limited_usage(&self) -> Usage {
+        let mut usage = Usage::new();
+        // Only our own pools' parts are ours to spend, and others hold most of the claims.
+        let own: Vec<&PoolId> = self.owned_since.keys().collect();
+        let teams: Vec<&TeamId> =
+            self.cfg.teams.iter().filter(|t| t.is_limited()).map(|t| &t.name).collect();
+        let mut used = vec![Resources::default(); own.len() * teams.len()];
+        for (id, live) in &self.mirror.jobs {
+            let team = teams.iter().position(|t| **t == live.record.spec.team);
+            let Some(team) = team.filter(|_| live.claimed > 0) else { continue };
+            for group in self.mirror.tables(id).flat_map(|t| &t.claims) {
+                if let Some(pool) = own.iter().position(|p| **p == group.pool) {
+                    used[team * own.len() + pool] += live.each.times(group.tasks.len() as u32);
+                }
+            }
+        }
+        for (i, used) in used.into_iter().enumerate() {
+            let (team, pool) = (teams[i / own.len()], own[i % own.len()]);
+            usage.insert((team.clone(), pool.clone()), used);
+        }
+        for (id, local) in &self.locals {
+            for wish in &local.wishes {
+                if let Some(live) = self.mirror.jobs.get(id) {
+                    let key = (live.record.spec.team.clone(), wish.pool.clone());
+                    *usage.entry(key).or_default() += live.each.times(wish.tasks);
+                }
+            }
+        }
+        for pending in self.ops.values() {
+            let Pending::Job(tx) = pending else { continue };
+            let Some(live) = self.mirror.jobs.get(&tx.job) else {
+                continue;
+            };
+            for (pool, tasks) in tx.claimed() {
+                let key = (live.record.spec.team.clone(), pool);
+                *usage.entry(key).or_default() += live.each.times(tasks);
+            }
+        }
+        usage
+    }
+
+    /// The limits that this pool's machines could exceed, with the pool's part and what nobody
+    /// has taken yet: that much it may hope for.
+    pub(crate) fn binding_limits(
+        &self,
+        pool: &PoolId,
+        machines: usize,
+        usage: &Usage,
+    ) -> Vec<Binding> {
+        let capacity = self.fleet.total(&pool.machine_type).times(machines as u32);
+        let mut binding = Vec::new();
+        for team in self.cfg.teams.iter().filter(|t| t.is_limited()) {
+            let (part, free) = self.part_and_free(team, pool);
+            let hope = part + free;
+            if capacity.cpus <= hope.cpus && capacity.gpus <= hope.gpus {
+                continue;
+            }
+            let used = usage.get(&(team.name.clone(), pool.clone())).copied().unwrap_or_default();
+            let left = hope - Resources { memory: 0, ..used };
+            binding.push(Binding { team: team.name.clone(), left, back: BTreeMap::new() });
+        }
+        binding
+    }
+
+    /// The pool's part of a team's limit, and what of the limit is no pool's.
+    fn part_and_free(&self, team: &crate::config::Team, pool: &PoolId) -> (Resources, Resources) {
+        const FAR: i64 = i64::MAX / 8;
+        let record = self.mirror.slices.get(&team.name).map(|s| &s.1);
+        let parts = || record.iter().flat_map(|r| &r.pools);
+        let part = parts().find(|(p, _)| *p == pool).map(|p| *p.1).unwrap_or_default();
+        let taken = parts().fold((0, 0), |a, (_, s)| (a.0 + s.0, a.1 + s.1));
+        let max = Resources::new(team.cpus_max, team.gpus_max, 0.0);
+        let of = |max: i64, part: i64, taken: i64| match max {
+            0 => (FAR, 0),
+            max => (part, (max - taken).max(0)),
+        };
+        let (cpus, gpus) = (of(max.cpus, part.0, taken.0), of(max.gpus, part.1, taken.1));
+        (
+            Resources { cpus: cpus.0, gpus: gpus.0, memory: FAR },
+            Resources { cpus: cpus.1, gpus: gpus.1, memory: 0 },
+        )
+    }
+
+    /// What limited teams' reservations will start soon.
+    pub(crate) fn note_soon(&mut self, plans: &[PoolPlan]) {
+        let mut soon = Usage::new();
+        let until = self.now.plus(KEEP_MS);
+        for plan in plans {
+            for r in plan.reservations.iter().filter(|r| r.start > self.now && r.start <= until) {
+                let Some(live) = self.mirror.jobs.get(&plan.jobs[r.request]) else { continue };
+                let team = &live.record.spec.team;
+                if self.cfg.team(team).is_some_and(|t| t.is_limited()) {
+                    let key = (team.clone(), plan.pool.clone());
+                    *soon.entry(key).or_default() += live.each.times(r.tasks);
+                }
+            }
+        }
+        self.limits.soon = soon;
+    }
+
+    /// What each limited team could still use in the whole region, `weight` being how much of a
+    /// claim counts.
+    pub(crate) fn team_rooms(&self, weight: impl Fn(&Live) -> f64) -> BTreeMap<TeamId, f64> {
+        let limited = self.cfg.teams.iter().filter(|t| t.cpus_max > 0.0);
+        let mut rooms: BTreeMap<TeamId, f64> =
+            limited.map(|t| (t.name.clone(), t.cpus_max)).collect();
+        for live in self.mirror.jobs.values().filter(|l| l.claimed > 0) {
+            if let Some(room) = rooms.get_mut(&live.record.spec.team) {
+                *room -= live.record.spec.cpus * f64::from(live.claimed) * weight(live);
+            }
+        }
+        rooms
+    }
+
+    /// How many of `tasks` the pool's slice of the team's limit still holds; books them.
+    pub(crate) fn within_slice(
+        &self,
+        team: &TeamId,
+        pool: &PoolId,
+        usage: &mut Usage,
+        each: Resources,
+        tasks: u32,
+    ) -> u32 {
+        let Some(limit) = self.cfg.team(team) else {
+            return 0;
+        };
+        if !limit.is_limited() {
+            return tasks;
+        }
+        if self.limits.blind.is_some() || self.limits.inflight.contains(team) {
+            return 0;
+        }
+        let slice = self.mirror.slices.get(team).and_then(|s| s.1.pools.get(pool)).copied();
+        let (cpus, gpus) = slice.unwrap_or_default();
+        let used = usage.entry((team.clone(), pool.clone())).or_default();
+        let far = i64::MAX / 4;
+        let room = Resources {
+            cpus: if limit.cpus_max > 0.0 { cpus - used.cpus } else { far },
+            gpus: if limit.gpus_max > 0.0 { gpus - used.gpus } else { far },
+            memory: far,
+        };
+        let n = room.fits(&each, tasks);
+        *used += each.times(n);
+        n
+    }
+
+    /// Moves what our pools may use of limited teams' limits. Only a pool's owner changes the
+    /// pool's part, guarded by the pool's version; so the parts never add up to more than the
+    /// limit, and what a pool uses never exceeds its part. A pool asks only for what it could
+    /// start right now: asking for all that waits let a pool whose machines the waiting jobs
+    /// could not use keep the whole limit, and the team stood still.
+    pub(crate) fn keep_slices(&mut self) {
+        if self.now.since(self.limits.looked) < 250 || !self.in_contact() {
+            return;
+        }
+        self.limits.looked = self.now;
+        if self.limits.blind.is_some() {
+            return;
+        }
+        let usage = self.limited_usage();
+        let sizes = self.fleet.sizes();
+        let own: Vec<(PoolId, Token, Resources)> = self
+            .owned_since
+            .iter()
+            .filter(|(p, _)| !self.hinted.contains_key(p))
+            .map(|(p, o)| {
+                let n = sizes.get(p).copied().unwrap_or(0) as u32;
+                (p.clone(), o.0, self.fleet.total(&p.machine_type).times(n))
+            })
+            .collect();
+        let teams: Vec<crate::config::Team> =
+            self.cfg.teams.iter().filter(|t| t.is_limited()).cloned().collect();
+        for team in teams {
+            if self.limits.inflight.contains(&team.name) {
+                continue;
+            }
+            let (version, record) = self.mirror.slices.get(&team.name).cloned().unwrap_or_default();
+            let max = Resources::new(team.cpus_max, team.gpus_max, 0.0);
+            let taken = record.pools.values().fold((0, 0), |a, s| (a.0 + s.0, a.1 + s.1));
+            let mut free = (max.cpus - taken.0, max.gpus - taken.1);
+            let mut new = record.clone();
+            let mut txn = Txn::default();
+            for (pool, token, capacity) in &own {
+                let used =
+                    usage.get(&(team.name.clone(), pool.clone())).copied().unwrap_or_default();
+                let asked = self
+                    .limits
+                    .short
+                    .get(&(team.name.clone(), pool.clone()))
+                    .copied()
+                    .unwrap_or_default();
+                let soon = self
+                    .limits
+                    .soon
+                    .get(&(team.name.clone(), pool.clone()))
+                    .copied()
+                    .unwrap_or_default();
+                let old = record.pools.get(pool).copied().unwrap_or_default();
+                let part = (
+                    resize(old.0, (used, asked, soon), *capacity, &mut free.0, max, |r| r.cpus),
+                    resize(old.1, (used, asked, soon), *capacity, &mut free.1, max, |r| r.gpus),
+                );
+                if part != old {
+                    new.pools.insert(pool.clone(), part);
+                    txn.guard(pool_key(pool), Version(token.0));
+                }
+            }
+            if new == record {
+                continue;
+            }
+            new.pools.retain(|_, s| *s != (0, 0));
+            txn.guard(slice_key(&team.name), version);
+            txn.put(slice_key(&team.name), &new, None);
+            self.limits.inflight.insert(team.name.clone());
+            let request = StoreRequest::Txn(txn.clone());
+            let pending = Pending::Slice { team: team.name, txn, record: new };
+            self.store(Lane::Claim, request, pending);
+        }
+    }
+
+    pub(crate) fn on_slice(
+        &mut self,
+        op: u64,
+        team: TeamId,
+        txn: Txn,
+        record: SliceRecord,
+        reply: StoreReply,
+    ) {
+        match reply {
+            StoreReply::Committed(version) => {
+                self.limits.inflight.remove(&team);
+                let current = self.mirror.slices.get(&team).map(|s| s.0).unwrap_or_default();
+                if current < version {
+                    self.mirror.slices.insert(team, (version, record));
+                }
+                self.dirty = true;
+            }
+            // It may yet be executed: until that is decided, nothing is claimed by it.
+            StoreReply::Unknown | StoreReply::Refused => {
+                let request = txn.clone();
+                self.again(op, Lane::Claim, request, Pending::Slice { team, txn, record }, 300);
+            }
+            _ => {
+                // What stands is known after the next reading; until then it counts as blind.
+                self.limits.inflight.remove(&team);
+                self.limits.blind = Some(self.now);
+                self.want_sync = true;
+            }
+        }
+    }
+}
+
+/// A pool's new part of a limit (`max` 0: there is none).
+fn resize(
+    old: i64,
+    (used, asked, soon): (Resources, Resources, Resources),
+    capacity: Resources,
+    free: &mut i64,
+    max: Resources,
+    of: impl Fn(Resources) -> i64,
+) -> i64 {
+    let (used, capacity, max) = (of(used), of(capacity), of(max));
+    if max == 0 {
+        return 0;
+    }
+    let want = (used + of(asked)).min(capacity.max(used));
+    if want > old && *free > 0 {
+        // All that the pool can hold at once, so that it need not ask again.
+        let grow = (capacity.max(want) - old).min(*free).max(0);
+        *free -= grow;
+        return old + grow;
+    }
+    // Others are short: give back what is not used or asked for, nor will be in a moment. (Given
+    // back between two tasks, a part at its limit was asked for again at every task's end.)
+    let keep = (want + of(soon)).min(capacity.max(used));
+    if old > keep && *free < max / 8 {
+        *free += old - keep;
+        return keep;
+    }
+    old
+}
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -7,7 +7,6 @@
 use crate::mirror::Mirror;
 use crate::records::*;
 use crate::schedule::Plans;
-use cleatfold_plan::Resources;
 use cleatfold_wire::cloud::RentRequest;
 use cleatfold_wire::job::JobSpec;
 use cleatfold_wire::mesh::Message;
@@ -189,13 +188,8 @@
     pub(crate) rent_inflight: usize,
     pub(crate) rent_count: u64,
     pub(crate) assigned_at: Ms,
-    pub(crate) slices_inflight: BTreeSet<TeamId>,
-    pub(crate) slices_at: Ms,
-    /// What the last planning could have started but for the pool's part of a team's limit.
-    pub(crate) short: BTreeMap<(TeamId, PoolId), Resources>,
+    pub(crate) limits: crate::limits::Limits,
     pub(crate) cleanup_inflight: bool,
-    /// Claims may stand that we have not read yet; no claim for a limited team until we have.
-    pub(crate) limits_blind: Option<Ms>,
     /// Tasks of our machines that are told to leave.
     pub(crate) stops: crate::shrink::Stops,
     pub(crate) completed_at: Ms,
@@ -271,11 +265,8 @@
             rent_inflight: 0,
             rent_count: 0,
             assigned_at: Ms(0),
-            slices_inflight: BTreeSet::new(),
-            slices_at: Ms(0),
-            short: BTreeMap::new(),
+            limits: Default::default(),
             cleanup_inflight: false,
-            limits_blind: None,
             stops: Default::default(),
             completed_at: Ms(0),
         }
@@ -531,8 +522,8 @@
                 }
                 self.mirror.applied = self.mirror.applied.max(events.revision);
                 self.fresh = Some(self.fresh.map_or(sent, |f| f.max(sent)));
-                if self.limits_blind.is_some_and(|b| b <= sent) {
-                    self.limits_blind = None;
+                if self.limits.blind.is_some_and(|b| b <= sent) {
+                    self.limits.blind = None;
                 }
                 for local in self.locals.values_mut() {
                     if local.stale_since.is_some_and(|s| s <= sent) {
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -3,12 +3,13 @@
 use crate::effects::Effect;
 use crate::fleet::Machine;
 use crate::jobs::{Local, Wish};
+use crate::limits::{Binding, Usage};
 use crate::mirror::Live;
-use crate::node::{Node, Pending};
+use crate::node::Node;
 use crate::shrink::YIELD_MS;
 use cleatfold_plan::chart::FOREVER;
 use cleatfold_plan::order::{Guarantees, Place};
-use cleatfold_plan::{MachineChart, Request, Reservation, Resources};
+use cleatfold_plan::{MachineChart, Request, Reservation, Timeline};
 use cleatfold_wire::job::Kind;
 use cleatfold_wire::mesh::{Message, Promise};
 use cleatfold_wire::*;
@@ -144,13 +145,14 @@
             return;
         }
         let (queue, guaranteed) = self.queue_and_guarantees();
-        let plans = self.chart_pools(&queue);
-        self.start_what_is_due(&queue, &plans);
+        let usage = self.limited_usage();
+        let plans = self.chart_pools(&queue, &usage);
+        self.start_what_is_due(&queue, &plans, usage);
         self.make_room(&plans, &guaranteed);
         self.tell_promises(&plans);
     }
 
-    fn chart_pools(&self, queue: &[Queued]) -> Vec<PoolPlan> {
+    fn chart_pools(&self, queue: &[Queued], usage: &Usage) -> Vec<PoolPlan> {
         let pools: Vec<(PoolId, Token)> = self
             .owned_since
             .iter()
@@ -161,10 +163,13 @@
         let by_pool = self.fleet.by_pool();
         for (pool, token) in pools {
             let members = by_pool.get(&pool).map(Vec::as_slice).unwrap_or_default();
-            let (machines, mut charts) = self.charts(&pool, token, members);
+            let mut binding = self.binding_limits(&pool, members.len(), usage);
+            let (machines, mut charts) = self.charts(&pool, token, members, &mut binding);
             if machines.is_empty() {
                 continue;
             }
+            let (teams, mut limits): (Vec<TeamId>, Vec<Timeline>) =
+                binding.into_iter().map(|b| b.over_time(self.now)).unzip();
             let open = charts.iter().map(|c| c.open).collect();
             let mut plan = PoolPlan {
                 pool,
@@ -176,8 +181,9 @@
                 requests: Vec::new(),
                 reservations: Vec::new(),
             };
-            self.requests_for(&mut plan, queue);
-            plan.reservations = cleatfold_plan::plan(&mut charts, &plan.requests, CHUNKS);
+            self.requests_for(&mut plan, queue, &teams);
+            plan.reservations =
+                cleatfold_plan::plan(&mut charts, &mut limits, &plan.requests, CHUNKS);
             plans.push(plan);
         }
         plans
@@ -193,6 +199,7 @@
         pool: &PoolId,
         token: Token,
         members: &[(&MachineId, &Machine)],
+        binding: &mut [Binding],
     ) -> (Vec<MachineId>, Vec<MachineChart>) {
         let now = self.now;
         let total = self.fleet.total(&pool.machine_type);
@@ -226,23 +233,31 @@
             chart.cost = (price / kind.cpus.max(0.001) * 1e6) as u64;
             chart.images = m.images.iter().map(|(image, _)| (image.clone(), now)).collect();
             // Claims come sorted by job: one look-up serves all of a job's.
-            let mut known: Option<(&JobId, &Live, Option<&Local>)> = None;
+            let mut known: Option<(&JobId, &Live, Option<&Local>, Option<usize>)> = None;
             let mut noted: Option<&JobId> = None;
             for ((job, ix), claim) in self.mirror.claims.get(id).into_iter().flatten() {
-                let (live, local) = match known {
-                    Some((last, live, local)) if last == job => (live, local),
+                let (live, local, limit) = match known {
+                    Some((last, live, local, limit)) if last == job => (live, local, limit),
                     _ => {
                         let Some(live) = self.mirror.jobs.get(job) else { continue };
-                        (live, self.locals.get(job))
+                        let team = &live.record.spec.team;
+                        let limit = binding.iter().position(|b| b.team == *team);
+                        (live, self.locals.get(job), limit)
                     }
                 };
-                known = Some((job, live, local));
+                known = Some((job, live, local, limit));
                 // Its room is free though its end is not recorded yet. (Waiting for the record
                 // left every place empty for seconds when changes run short.)
                 if local.is_some_and(|l| l.is_ending(*ix, claim.attempt)) {
+                    if let Some(limit) = limit {
+                        binding[limit].ends(now, now.plus(1000), live.each);
+                    }
                     continue;
                 }
                 let end = self.expected_end(id, m, (job, *ix), live, local);
+                if let Some(limit) = limit {
+                    binding[limit].ends(now, end, live.each);
+                }
                 chart.carve(now, end, live.each);
                 let image = &live.record.spec.image;
                 if noted != Some(job) && !chart.images.iter().any(|(i, _)| i == image) {
@@ -314,7 +329,7 @@
             && live.each.within(&self.fleet.total(&pool.machine_type))
     }
 
-    fn requests_for(&self, plan: &mut PoolPlan, queue: &[Queued]) {
+    fn requests_for(&self, plan: &mut PoolPlan, queue: &[Queued], limited: &[TeamId]) {
         let pool = &plan.pool;
         let failed: Vec<(usize, &Machine)> = plan
             .machines
@@ -362,6 +377,7 @@
                 image_gb: spec.image_gb,
                 spot: spec.spot,
                 gang: spec.kind == Kind::Gang,
+                limit: limited.iter().position(|t| *t == spec.team),
                 avoid,
             });
         }
@@ -378,7 +394,7 @@
 
     /// Turns reservations that start now into wishes to claim, soonest finish first, unless
     /// the other pools promise to have all that is left of the job done earlier.
-    fn start_what_is_due(&mut self, queue: &[Queued], plans: &[PoolPlan]) {
+    fn start_what_is_due(&mut self, queue: &[Queued], plans: &[PoolPlan], mut usage: Usage) {
         let mut left: BTreeMap<&JobId, u32> = BTreeMap::new();
         for q in queue {
             *left.entry(&q.job).or_default() += q.tasks;
@@ -398,8 +414,8 @@
             *due_tasks.entry((*p, r.request)).or_default() += r.tasks;
         }
         due.sort_by_key(|(p, r)| (r.finish, *p, r.request, r.machine));
-        let mut usage = self.limited_usage();
-        self.short.clear();
+        self.limits.short.clear();
+        self.note_soon(plans);
         let elsewhere: Vec<u32> = {
             let promises = self.promises(plans);
             due.iter()
@@ -440,7 +456,7 @@
             let fits = self.within_slice(&team, &plan.pool, &mut usage, each, tasks);
             if fits < tasks {
                 let key = (team, plan.pool.clone());
-                *self.short.entry(key).or_default() += each.times(tasks - fits);
+                *self.limits.short.entry(key).or_default() += each.times(tasks - fits);
             }
             tasks = fits;
             if tasks == 0 {
@@ -522,81 +538,4 @@
             self.out.push(Effect::Mesh { to: None, message });
         }
     }
-
-    // ---- limits ----
-
-    /// What limited teams use in our pools: every claim counts until it is proven over, and
-    /// so does every claim that is on its way.
-    pub(crate) fn limited_usage(&self) -> BTreeMap<(TeamId, PoolId), Resources> {
-        let mut usage: BTreeMap<(TeamId, PoolId), Resources> = BTreeMap::new();
-        // Only our own pools' parts are ours to spend, and others hold most of the claims.
-        let own: Vec<&PoolId> = self.owned_since.keys().collect();
-        let teams: Vec<&TeamId> =
-            self.cfg.teams.iter().filter(|t| t.is_limited()).map(|t| &t.name).collect();
-        let mut used = vec![Resources::default(); own.len() * teams.len()];
-        for (id, live) in &self.mirror.jobs {
-            let team = teams.iter().position(|t| **t == live.record.spec.team);
-            let Some(team) = team.filter(|_| live.claimed > 0) else { continue };
-            for group in self.mirror.tables(id).flat_map(|t| &t.claims) {
-                if let Some(pool) = own.iter().position(|p| **p == group.pool) {
-                    used[team * own.len() + pool] += live.each.times(group.tasks.len() as u32);
-                }
-            }
-        }
-        for (i, used) in used.into_iter().enumerate() {
-            let (team, pool) = (teams[i / own.len()], own[i % own.len()]);
-            usage.insert((team.clone(), pool.clone()), used);
-        }
-        for (id, local) in &self.locals {
-            for wish in &local.wishes {
-                if let Some(live) = self.mirror.jobs.get(id) {
-                    let key = (live.record.spec.team.clone(), wish.pool.clone());
-                    *usage.entry(key).or_default() += live.each.times(wish.tasks);
-                }
-            }
-        }
-        for pending in self.ops.values() {
-            let Pending::Job(tx) = pending else { continue };
-            let Some(live) = self.mirror.jobs.get(&tx.job) else {
-                continue;
-            };
-            for (pool, tasks) in tx.claimed() {
-                let key = (live.record.spec.team.clone(), pool);
-                *usage.entry(key).or_default() += live.each.times(tasks);
-            }
-        }
-        usage
-    }
-
-    /// How many of `tasks` the pool's slice of the team's limit still holds; books them.
-    fn within_slice(
-        &self,
-        team: &TeamId,
-        pool: &PoolId,
-        usage: &mut BTreeMap<(TeamId, PoolId), Resources>,
-        each: Resources,
-        tasks: u32,
-    ) -> u32 {
-        let Some(limit) = self.cfg.team(team) else {
-            return 0;
-        };
-        if !limit.is_limited() {
-            return tasks;
-        }
-        if self.limits_blind.is_some() || self.slices_inflight.contains(team) {
-            return 0;
-        }
-        let slice = self.mirror.slices.get(team).and_then(|s| s.1.pools.get(pool)).copied();
-        let (cpus, gpus) = slice.unwrap_or_default();
-        let used = usage.entry((team.clone(), pool.clone())).or_default();
-        let far = i64::MAX / 4;
-        let room = Resources {
-            cpus: if limit.cpus_max > 0.0 { cpus - used.cpus } else { far },
-            gpus: if limit.gpus_max > 0.0 { gpus - used.gpus } else { far },
-            memory: far,
-        };
-        let n = room.fits(&each, tasks);
-        *used += each.times(n);
-        n
-    }
 }
--- a/crates/cleatfold-plan/src/chart.rs
+++ b/crates/cleatfold-plan/src/chart.rs
@@ -5,6 +5,7 @@
 //! an array are reserved in chunks: as many as fit one machine at one time.
 
 use crate::resources::Resources;
+use crate::timeline::Timeline;
 use cleatfold_wire::{ImageId, Ms};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -12,10 +13,10 @@
 /// Far enough for "without end".
 pub const FOREVER: u64 = u64::MAX / 4;
 
-/// One machine's future: what is free from each step on until the next.
+/// One machine's future.
 #[derive(Clone, Debug)]
 pub struct MachineChart {
-    steps: Vec<(Ms, Resources)>,
+    free: Timeline,
     pub spot: bool,
     /// May start tasks at once. A machine that is still booting has a chart but is not open.
     pub open: bool,
@@ -32,7 +33,7 @@
 impl MachineChart {
     pub fn new(ready: Ms, total: Resources, spot: bool, open: bool) -> Self {
         Self {
-            steps: vec![(ready, total)],
+            free: Timeline::new(ready, total),
             spot,
             open,
             images: Vec::new(),
@@ -44,72 +45,20 @@
 
     /// Takes `what` from `from` until `until`.
     pub fn carve(&mut self, from: Ms, until: Ms, what: Resources) {
-        let from = from.max(self.steps[0].0);
-        if until <= from {
-            return;
-        }
-        self.split(from);
-        self.split(until);
-        for (at, free) in &mut self.steps {
-            if *at >= from && *at < until {
-                *free -= what;
-            }
-        }
-    }
-
-    fn split(&mut self, at: Ms) {
-        let i = self.steps.partition_point(|s| s.0 < at);
-        if i == self.steps.len() || self.steps[i].0 != at {
-            let free = self.steps[i - 1].1;
-            self.steps.insert(i, (at, free));
-        }
+        self.free.carve(from, until, what);
     }
 
-    /// The earliest start of at least one task, and how many can start together then.
-    pub fn earliest(&self, request: &Request, tasks: u32) -> Option<(Ms, Ms, u32)> {
+    /// The earliest start of at least one task, not before `from`, and how many can start
+    /// together then.
+    pub fn earliest(&self, request: &Request, tasks: u32, from: Ms) -> Option<(Ms, Ms, u32)> {
         let image = self.image_ready(request);
-        let mut i = 0;
-        while i < self.steps.len() {
-            // Most steps of a busy machine have no room at all.
-            if !self.steps[i].1.holds(&request.each) {
-                i += 1;
-                continue;
-            }
-            let start = self.steps[i].0;
-            let finish = self.finish(request, image, start);
-            let mut count = tasks;
-            let mut j = i;
-            while j < self.steps.len() && self.steps[j].0 < finish {
-                count = self.steps[j].1.fits(&request.each, count);
-                if count == 0 {
-                    break;
-                }
-                j += 1;
-            }
-            if count > 0 {
-                return Some((start, finish, count));
-            }
-            // The step that has no room rules out every start up to and including it.
-            i = j + 1;
-        }
-        None
+        self.free.earliest(from, &request.each, tasks, |start| self.finish(request, image, start))
     }
 
     /// How many tasks can run from `start` on, and until when.
     fn room(&self, request: &Request, start: Ms, tasks: u32) -> (Ms, u32) {
         let finish = self.finish(request, self.image_ready(request), start);
-        let first = self.steps.partition_point(|s| s.0 <= start);
-        if first == 0 {
-            return (finish, 0);
-        }
-        let mut count = tasks;
-        for (at, free) in &self.steps[first - 1..] {
-            if *at >= finish || count == 0 {
-                break;
-            }
-            count = free.fits(&request.each, count);
-        }
-        (finish, count)
+        (finish, self.free.room(start, finish, &request.each, tasks))
     }
 
     /// When the request's image is (or is expected to be) here, if it is or will be.
@@ -132,7 +81,7 @@
 
     /// What is free at the first step: used to pack busier machines first.
     fn free_at_first(&self) -> i64 {
-        self.steps[0].1.cpus
+        self.free.at_first().cpus
     }
 }
 
@@ -148,6 +97,8 @@
     pub spot: bool,
     /// All tasks start at the same time, over as many machines as it takes.
     pub gang: bool,
+    /// Which of the limits it falls under, by index.
+    pub limit: Option<usize>,
     /// Machines (by index) that this job should not use.
     pub avoid: Vec<usize>,
 }
@@ -169,10 +120,11 @@
     usable: &[usize],
     number: usize,
     request: &Request,
+    mut limit: Option<&mut Timeline>,
     out: &mut Vec<Reservation>,
 ) {
-    let mut starts: Vec<Ms> =
-        usable.iter().flat_map(|&i| machines[i].steps.iter().map(|s| s.0)).collect();
+    let mut starts: Vec<Ms> = usable.iter().flat_map(|&i| machines[i].free.starts()).collect();
+    starts.extend(limit.iter().flat_map(|l| l.starts()));
     starts.sort_unstable();
     starts.dedup();
     for start in starts {
@@ -193,6 +145,12 @@
         }
         // They wait for one another: the last image holds them all.
         let finish = parts.iter().map(|p| p.2).max().unwrap_or(start);
+        if let Some(limit) = limit.as_deref_mut() {
+            if limit.room(start, finish, &request.each, request.tasks) < request.tasks {
+                continue;
+            }
+            limit.carve(start, finish, request.each.times(request.tasks));
+        }
         for (i, tasks, _) in parts {
             machines[i].carve(start, finish, request.each.times(tasks));
             out.push(Reservation { request: number, machine: i, start, finish, tasks });
@@ -201,21 +159,34 @@
     }
 }
 
+/// Reservations of one limit that may lie ahead. A team at its limit would otherwise use up all
+/// that may be planned with work that cannot start, and whoever comes behind waited unreserved
+/// beside idle machines.
+const LIMITED_AHEAD: usize = 48;
+
 /// Reserves every request in order, with at most `chunks` reservations in all. What has none
-/// left simply waits unreserved behind all the others.
+/// left simply waits unreserved behind all the others. A request's limit is a resource like a
+/// machine's: what it does not hold is reserved when it does, and takes no room until then.
 pub fn plan(
     machines: &mut [MachineChart],
+    limits: &mut [Timeline],
     requests: &[Request],
     mut chunks: usize,
 ) -> Vec<Reservation> {
     let mut out = Vec::new();
+    let mut ahead = vec![0; limits.len()];
+    let now = machines.iter().map(|m| m.free.first()).min().unwrap_or(Ms(0));
     for (r, request) in requests.iter().enumerate() {
+        if request.limit.is_some_and(|l| ahead[l] >= LIMITED_AHEAD) {
+            continue;
+        }
         let usable =
             |i: usize, m: &MachineChart| (request.spot || !m.spot) && !request.avoid.contains(&i);
         if request.gang {
             let usable: Vec<usize> =
                 (0..machines.len()).filter(|&i| usable(i, &machines[i])).collect();
-            plan_gang(machines, &usable, r, request, &mut out);
+            let limit = request.limit.map(|l| &mut limits[l]);
+            plan_gang(machines, &usable, r, request, limit, &mut out);
             chunks = chunks.saturating_sub(1);
             if chunks == 0 {
                 break;
@@ -223,8 +194,16 @@
             continue;
         }
         let mut left = request.tasks;
-        let candidate = |i: usize, m: &MachineChart, tasks: u32| {
-            let (start, finish, count) = m.earliest(request, tasks)?;
+        let from = match request.limit {
+            // Nothing is reserved before the limit holds a task; mostly it does at once.
+            Some(l) => match limits[l].earliest(now, &request.each, 1, |s| s.plus(1)) {
+                Some((from, ..)) => from,
+                None => continue,
+            },
+            None => Ms(0),
+        };
+        let candidate = |i: usize, m: &MachineChart, tasks: u32, from: Ms| {
+            let (start, finish, count) = m.earliest(request, tasks, from)?;
             let rank = (finish.0 / 1000, m.cost, finish, start, m.free_at_first(), i);
             Some(Reverse((rank, count)))
         };
@@ -234,14 +213,35 @@
             .iter()
             .enumerate()
             .filter(|(i, m)| usable(*i, m))
-            .filter_map(|(i, m)| candidate(i, m, left))
+            .filter_map(|(i, m)| candidate(i, m, left, from))
             .collect();
+        // Every machine may have to be looked at again for a later start, but not for ever.
+        let mut put_off = 4 * machines.len() + 64;
         while left > 0 && chunks > 0 {
             let Some(Reverse(((.., finish, start, _, i), count))) = candidates.pop() else {
                 break;
             };
-            let count = count.min(left);
+            let mut count = count.min(left);
             let m = &mut machines[i];
+            if let Some(l) = request.limit {
+                let limit = &mut limits[l];
+                count = limit.room(start, finish, &request.each, count);
+                if count == 0 {
+                    // It may start there as soon as the limit holds a task for as long as it runs.
+                    let image = m.image_ready(request);
+                    let until = |s| m.finish(request, image, s);
+                    let later = limit.earliest(start, &request.each, 1, until);
+                    let later = later.map(|l| l.0).filter(|at| *at > start && put_off > 0);
+                    put_off = put_off.saturating_sub(1);
+                    candidates.extend(later.and_then(|at| candidate(i, m, left, at)));
+                    continue;
+                }
+                limit.carve(start, finish, request.each.times(count));
+                ahead[l] += usize::from(start > now);
+                if ahead[l] >= LIMITED_AHEAD {
+                    left = count;
+                }
+            }
             m.carve(start, finish, request.each.times(count));
             if !m.images.iter().any(|(image, _)| *image == request.image) {
                 let ready = start.plus_s(request.image_gb / m.fetch_gb_per_s.max(0.001));
@@ -251,7 +251,7 @@
             left -= count;
             chunks -= 1;
             if left > 0 {
-                candidates.extend(candidate(i, m, left));
+                candidates.extend(candidate(i, m, left, from));
             }
         }
         if chunks == 0 {
--- a/crates/cleatfold-plan/src/lib.rs
+++ b/crates/cleatfold-plan/src/lib.rs
@@ -4,7 +4,9 @@
 pub mod order;
 pub mod pools;
 pub mod resources;
+pub mod timeline;
 pub mod victims;
 
 pub use chart::{plan, MachineChart, Request, Reservation};
 pub use resources::Resources;
+pub use timeline::Timeline;
--- a/docs/days/make.py
+++ b/docs/days/make.py
@@ -1,12 +1,14 @@
 #!/usr/bin/env python3
 """Makes a larger or smaller deployment, and days of our own, from a site file of the users' bench.
 
-    make.py size SITE.toml FACTOR OUT.toml [--zone NAME]
-    make.py day  SITE.toml everything|twice|return OUT.toml
+    make.py size SITE.toml FACTOR OUT.toml [--zone NAME] [--machines FACTOR] [--team NAME=WEIGHT]
+    make.py day  SITE.toml everything|twice|return|TROUBLE[+TROUBLE...] OUT.toml
 
 `size` multiplies machines, traffic, first load and the teams' amounts; the controllers and what the
-services take stay as they are. `--zone` adds a zone with as many machines as the first one has.
-`day` writes one day. See README.md beside this file for what the days are for.
+services take stay as they are. `--zone` adds a zone with as many machines as the first one has;
+`--machines` multiplies the machines alone, and `--team` lets a team send more or less of the same traffic.
+`day` writes one day. A TROUBLE is `burst:CLASS:TIMES:SECONDS`, `roll`, `kill` (all controllers), `cut`
+(a zone), `half` (half of the machines die) or `calm`. See README.md beside this file for what the days are for.
 """
 import random
 import re
@@ -18,16 +20,21 @@
 AMOUNTS = {"teams": {"cpus", "cpus_max", "gpus", "gpus_max"}}
 
 
-def size(source, factor, zone):
-    section, lines, extra, block = None, [], [], []
+def size(source, factor, zone, machines, weights):
+    section, lines, extra, block, team = None, [], [], [], None
     first = tomllib.load(open(source, "rb"))["nodes"]["zones"][0]
     for line in open(source):
         if header := re.match(r"\[+(\w+)\]+", line):
             section, block = header.group(1), []
         block.append(line)
         number = re.match(r"(\w+) = ([\d.]+)\s*$", line)
+        if named := re.match(r'name = "(.+)"', line):
+            team = named.group(1) if section == "teams" else None
         if number and number.group(1) in COUNTED.get(section, ()):
-            line = f"{number.group(1)} = {max(1, round(float(number.group(2)) * factor))}\n"
+            times = factor * (1.0 if section == "jobs" else machines)
+            line = f"{number.group(1)} = {max(1, round(float(number.group(2)) * times))}\n"
+        elif number and number.group(1) == "weight" and team in weights:
+            line = f"weight = {weights[team]}\n"
         elif number and number.group(1) in AMOUNTS.get(section, ()):
             line = f"{number.group(1)} = {float(number.group(2)) * factor}\n"
         elif section == "jobs" and line.startswith("arrivals"):
@@ -42,6 +49,27 @@
     return "".join(lines + extra)
 
 
+def troubles(words, zones, nodes, lease, up):
+    """Of a day like `burst:rendu:4:200+cut`: what happens, all of it from the same moment on."""
+    at, faults = 120.0, []
+    for word in words.split("+"):
+        kind, *rest = word.split(":")
+        if kind == "burst" and len(rest) == 3:
+            burst = {"class": rest[0]}
+            faults.append(dict(at_s=at, kind="job_burst", **burst, factor=float(rest[1]), for_s=float(rest[2])))
+        elif kind == "roll":
+            faults.append(dict(at_s=at, kind="node_roll", every_s=25.0))
+        elif kind == "kill":
+            faults.append(dict(at_s=at + 30, kind="node_crash", count=nodes, busiest=True))
+        elif kind == "cut":
+            faults.append(dict(at_s=at, kind="zone_cut", zone=zones[1], for_s=2 * lease, mode="hold"))
+        elif kind == "half":
+            faults.append(dict(at_s=at, kind="machine_die", count=max(1, up // 2)))
+        elif kind != "calm":
+            sys.exit(f"no such trouble: {word}\n{__doc__}")
+    return faults
+
+
 def day(source, name):
     site = tomllib.load(open(source, "rb"))
     zones, nodes = site["nodes"]["zones"], site["nodes"]["count"]
@@ -86,17 +114,29 @@
         for _ in range(2):
             faults += [dict(at_s=round(rng.uniform(100, 330), 1), **make()) for make in kinds]
         faults.sort(key=lambda f: f["at_s"])
+    if name not in ("everything", "return", "twice"):
+        faults = troubles(name, zones, nodes, lease, up)
+        name = re.sub(r"[^a-z0-9]+", "-", name)
     show = lambda v: str(v).lower() if isinstance(v, bool) else f'"{v}"' if isinstance(v, str) else str(v)
     rows = ["{ " + ", ".join(f"{k} = {show(v)}" for k, v in f.items()) + " }" for f in faults]
-    return f'name = "{name}"\nslot = "scale"\nlight = false\nseed = 200\nfaults = [\n  ' + ",\n  ".join(rows) + ",\n]\n"
+    return f'name = "{name}"\nslot = "scale"\nlight = false\nseed = 200\nfaults = [\n' + "".join(f"  {row},\n" for row in rows) + "]\n"
 
 
 def main(args):
-    zone = args.pop(args.index("--zone") + 1) if "--zone" in args else None
-    args = [a for a in args if a != "--zone"]
+    def option(name):
+        at = args.index(name) if name in args else None
+        value = args.pop(at + 1) if at is not None else None
+        if at is not None:
+            args.pop(at)
+        return value
+
+    zone, machines, weights = option("--zone"), float(option("--machines") or 1.0), {}
+    while team := option("--team"):
+        name, _, weight = team.partition("=")
+        weights[name] = float(weight)
     if len(args) == 4 and args[0] == "size":
-        text = size(args[1], float(args[2]), zone)
-    elif len(args) == 4 and args[0] == "day" and args[2] in ("everything", "twice", "return"):
+        text = size(args[1], float(args[2]), zone, machines, weights)
+    elif len(args) == 4 and args[0] == "day":
         text = day(args[1], args[2])
     else:
         sys.exit(__doc__)
