--- a/crates/cleatfold-admission/src/order.rs
+++ b/crates/cleatfold-admission/src/order.rs
@@ -22,14 +22,17 @@
     pub begun: bool,
 }
 
+/// Past its use a job lets those go first that can still be of some, whatever its urgency; not
+/// once it has begun, or ever new jobs would be begun and none finished.
+pub fn past_use(entry: &Entry, job: Waiting, now_ms: u64) -> bool {
+    !job.begun && now_ms.saturating_sub(job.accepted_ms) > entry.patience_ms
+}
+
 /// The moment a job's place in the queue goes by.
 pub fn place(entry: &Entry, job: Waiting, now_ms: u64) -> u64 {
     let patience = entry.patience_ms as f64;
     let size = (job.rest.max(1.0) / entry.typical.max(1) as f64).log2().clamp(-REACH, REACH);
-    // Past its use it lets those go first that can still be of some; not once it has begun, or
-    // ever new jobs would be begun and none finished.
-    let late = now_ms.saturating_sub(job.accepted_ms) > entry.patience_ms;
-    let turn = match (job.begun, late) {
+    let turn = match (job.begun, past_use(entry, job, now_ms)) {
         (true, _) => -BEGUN,
         (false, true) => 1.0,
         (false, false) => 0.0,
--- a/crates/cleatfold-control/src/admission.rs
+++ b/crates/cleatfold-control/src/admission.rs
@@ -53,6 +53,18 @@
         allotment.entry(&live.record.spec.team, &live.record.spec.class)
     }
 
+    /// Whether a job that is not known yet would only wait past its use, and then after how many
+    /// seconds to ask again. By the job's size and the allotment alone: the same answer at every
+    /// node and at every retry, as long as the allotment stands.
+    pub(crate) fn refused_for_now(&self, spec: &JobSpec) -> Option<u32> {
+        self.cfg.admission.as_ref()?;
+        let most = self.mirror.allotment.1.entry(&spec.team, &spec.class)?.most?;
+        let refused = spec.kind == Kind::Array && work(spec, spec.tasks) > most as f64;
+        // An allotment is looked at again after STAND_MS; a retry before that is in vain.
+        let spread = xxhash_rust::xxh3::xxh3_64(spec.id.as_str().as_bytes()) % 8;
+        refused.then_some((2 * STAND_MS / 1000 + spread) as u32)
+    }
+
     /// How long a job of this kind is of use to who sent it: by the most lenient of its aims.
     fn patience_s(&self, spec: &JobSpec) -> f64 {
         let aims = self.cfg.aims.iter().filter(|a| a.class == spec.class);
--- a/crates/cleatfold-control/src/queue.rs
+++ b/crates/cleatfold-control/src/queue.rs
@@ -55,6 +55,7 @@
                 // take the very place that it has just given to somebody else.
                 let gives_way = live.width().is_some_and(|w| w.least == 0);
                 let accepted = live.record.accepted_ms;
+                let mut past_use = false;
                 let arrival = match entry {
                     _ if gives_way => u64::MAX,
                     None => accepted,
@@ -62,6 +63,7 @@
                         let rest = f64::from(live.unclaimed()) * spec.cpus * spec.estimate_s;
                         let begun = live.claimed + live.done > 0;
                         let job = order::Waiting { accepted_ms: accepted, rest, begun };
+                        past_use = order::past_use(entry, job, self.wall_ms);
                         let place = order::place(entry, job, self.wall_ms);
                         let needs = live.each.times(live.unclaimed()).cpus;
                         let class = pressed.entry(&spec.class).or_default();
@@ -71,6 +73,7 @@
                 };
                 let place = Place {
                     beyond_floor: true,
+                    past_use,
                     urgency: spec.urgency,
                     beyond_guarantee: !within || gives_way,
                     arrival,
@@ -83,6 +86,7 @@
                 // Behind everything of its urgency: it takes only what nobody has reserved.
                 let place = Place {
                     beyond_floor: true,
+                    past_use: false,
                     urgency: spec.urgency,
                     beyond_guarantee: true,
                     arrival: u64::MAX,
--- a/crates/cleatfold-control/src/requests.rs
+++ b/crates/cleatfold-control/src/requests.rs
@@ -319,6 +319,11 @@
             let retry_after_s = Some((wait_s as u32 + spread as u32).clamp(1, 15));
             return self.reply(rid, Response::Refusal { code: 503, why, retry_after_s });
         }
+        if let Some(retry_after_s) = self.refused_for_now(&spec) {
+            let why = "more of this kind waits than can be done in time".to_string();
+            let retry_after_s = Some(retry_after_s);
+            return self.reply(rid, Response::Refusal { code: 429, why, retry_after_s });
+        }
         self.submissions.push_back(Submission { rid, spec, arrived: self.now });
         self.flush_due = true;
     }
@@ -430,7 +435,11 @@
                     };
                     self.mirror.set(&key, value.get(), version);
                     self.local(&job);
-                    tracing::info!(job = %job, class = %submission.spec.class, tasks = submission.spec.tasks, estimate_s = submission.spec.estimate_s, "accepted");
+                    let spec = &submission.spec;
+                    tracing::info!(
+                        %job, class = %spec.class, team = %spec.team, tasks = spec.tasks,
+                        estimate_s = spec.estimate_s, "accepted"
+                    );
                     let status = status(&job, JobState::Queued, 0, 0);
                     self.reply(submission.rid, Response::Status { code: 201, status });
                 }
--- a/crates/cleatfold-plan/src/order.rs
+++ b/crates/cleatfold-plan/src/order.rs
@@ -1,4 +1,4 @@
-//! Queue order: what fills its group's floor, urgency, then work within its team's guarantee, then arrival.
+//! Queue order: what fills its group's floor, what can be of use, urgency, then work within its team's guarantee, then arrival.
 
 use crate::resources::Resources;
 use cleatfold_wire::job::Urgency;
@@ -9,6 +9,8 @@
 pub struct Place {
     /// False for what a group that is not served in time gets before everybody else.
     pub beyond_floor: bool,
+    /// Of such a group, and past its use: it goes behind all that can still be of some.
+    pub past_use: bool,
     pub urgency: Urgency,
     pub beyond_guarantee: bool,
     pub arrival: u64,
--- a/crates/cleatfold/src/operator.rs
+++ b/crates/cleatfold/src/operator.rs
@@ -21,6 +21,11 @@
     /// Whether ordinary work is stopped for work that goes before it, where that meets an aim.
     /// Without it: where an objective aims at a start.
     pub preempt: Option<bool>,
+    /// Whether anything is done about overload that lasts, so that no class and no team starves.
+    pub admission: Option<bool>,
+    /// New large jobs of a group are refused while its jobs would wait so many patiences; 1 to 100.
+    /// Without it nothing is refused for its size.
+    pub refuse_after: Option<f64>,
 }
 
 impl Operator {
@@ -46,12 +51,16 @@
             ("node_lease_ms", self.node_lease_ms.map(|v| v as f64), 1000.0, 60_000.0),
             ("idle_return_s", self.idle_return_s, 0.0, 86_400.0),
             ("usual_wait_s", self.usual_wait_s, 1.0, 86_400.0),
+            ("refuse_after", self.refuse_after, 1.0, 100.0),
         ];
         for (field, value, least, most) in ranges {
             if value.is_some_and(|v| !(least..=most).contains(&v)) {
                 return Err(format!("{field}: must be between {least} and {most}"));
             }
         }
+        if self.admission == Some(false) && self.refuse_after.is_some() {
+            return Err("refuse_after: needs admission".into());
+        }
         Ok(())
     }
 
@@ -74,6 +83,12 @@
         if let Some(preempt) = self.preempt {
             config.preempt = preempt;
         }
+        if self.admission == Some(false) {
+            config.admission = None;
+        }
+        if let Some(rules) = &mut config.admission {
+            rules.refuse = self.refuse_after;
+        }
     }
 }
 
@@ -91,6 +106,8 @@
             ("reading_ms = 5", "reading_ms"),
             ("usual_wait_s = \"long\"", "usual_wait_s"),
             ("idle_retrun_s = 3", "idle_retrun_s"),
+            ("refuse_after = 0.5", "refuse_after"),
+            ("admission = false\nrefuse_after = 2", "refuse_after"),
         ] {
             let error = Operator::parse(text).unwrap_err();
             assert!(!error.contains('\n'), "{error}");
