Duties held one by one under epochs; rentals are durable intents before the cloud is asked

Cause: one key said who leads and whoever led did everything. A leader that was cut off went on renting, a new one asked again for what the former one had asked for, refusals were forgotten with it, and a leader restarted within its lease took its former life's key for its own.

Ruled out: votes; everyone trying at once; a record for each intent (two changes each). Seen and mended on the way: answered intents held up the next ones (four requests in 3 s).

Holder is a node's life; its former life's key is taken anew. Every write of a duty is guarded by its epoch. Rented machines are told to all by mesh.

--- a/crates/cleatfold-control/src/admission.rs
+++ b/crates/cleatfold-control/src/admission.rs
@@ -2,7 +2,7 @@
 //! all go by what it has written.
 //!
 //! Only the order of the queue rests on it, so a node that has not read the newest allotment does
-//! no harm: every claim is guarded as ever. The writer's word is guarded by the leader's key: a
+//! no harm: every claim is guarded as ever. The writer's word is guarded by its duty's key: a
 //! holder that was replaced cannot overwrite what the next one has written.
 
 use crate::config::AimKind;
@@ -12,6 +12,7 @@
 use crate::records::*;
 use cleatfold_admission::meter::Spread;
 use cleatfold_admission::{decide, Allotment, Demand, Entry, Group, Judge, Meter, Small, View};
+use cleatfold_duties::Duty;
 use cleatfold_wire::job::{JobSpec, Kind, Urgency};
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
@@ -98,7 +99,7 @@
             admission.meter.arrived(&group, at_s, work(spec, spec.tasks));
         }
         self.note_capacity();
-        if self.is_leader() && self.in_contact() && self.list_at.is_some() {
+        if self.holds(Duty::Allot) && self.in_contact() && self.list_at.is_some() {
             self.allot();
         }
     }
@@ -195,7 +196,7 @@
         View { capacity, settled, groups }
     }
 
-    /// The leader's part: decides, and writes what has changed.
+    /// The holder's part: decides, and writes what has changed.
     fn allot(&mut self) {
         let view = self.view();
         let Some(rules) = &self.cfg.admission else { return };
@@ -209,7 +210,7 @@
         if self.admission.inflight || stands || !known.differs(&entries) {
             return;
         }
-        let Some((_, leading)) = self.mirror.leader else { return };
+        let Some(epoch) = self.epoch(Duty::Allot) else { return };
         tracing::info!(
             generation = known.generation + 1,
             groups = entries.len(),
@@ -217,10 +218,10 @@
             entries = ?entries.iter().map(|e| (&e.team, &e.class, e.floor / 1000)).collect::<Vec<_>>(),
             "allotting"
         );
-        let next = Allotment { generation: known.generation + 1, epoch: leading, entries };
+        let next = Allotment { generation: known.generation + 1, epoch, entries };
         let mut txn = Txn::default();
         txn.guard(ALLOTMENT, *version);
-        txn.guard(LEADER, leading);
+        txn.guard(Duty::Allot.key(), epoch);
         txn.put(ALLOTMENT, &next, None);
         self.admission.inflight = true;
         self.admission.written = self.now;
--- /dev/null
+++ b/crates/cleatfold-control/src/duties.rs
@@ -0,0 +1,124 @@
+//! Taking duties, giving them back, and the small ones themselves.
+
+use crate::effects::*;
+use crate::node::{Node, Pending};
+use crate::records::*;
+use cleatfold_duties::Duty;
+use cleatfold_wire::store::Txn;
+use cleatfold_wire::*;
+
+impl Node {
+    /// Ours, by what was read last. Whatever is done under it outside the state service has to be
+    /// durable there first.
+    pub(crate) fn holds(&self, duty: Duty) -> bool {
+        self.epoch(duty).is_some()
+    }
+
+    /// The version of a duty's key while it is ours: every transaction of the duty is guarded by it.
+    pub(crate) fn epoch(&self, duty: Duty) -> Option<Version> {
+        let (holder, version) = self.mirror.duties.get(&duty)?;
+        let ours = holder.owner == self.cfg.me && Some(holder.incarnation) == self.incarnation;
+        ours.then_some(*version)
+    }
+
+    /// A key of ours from before we were restarted: nobody acts under it any more. What was done
+    /// under it is not known here, so it is taken anew, under a new epoch, rather than gone on with.
+    fn former_life(&self, duty: Duty) -> Option<Version> {
+        let (holder, version) = self.mirror.duties.get(&duty)?;
+        let former = holder.owner == self.cfg.me && Some(holder.incarnation) != self.incarnation;
+        former.then_some(*version)
+    }
+
+    pub(crate) fn keep_duties(&mut self) {
+        let now = self.now;
+        let former: Vec<(Duty, Version)> =
+            Duty::ALL.iter().filter_map(|d| Some((*d, self.former_life(*d)?))).collect();
+        let duties = &self.mirror.duties;
+        let nodes = self.mirror.nodes.keys();
+        self.roster.see(now, &self.cfg.me, nodes, |d| duties.contains_key(&d));
+        if self.in_contact() {
+            if let (Some(lease), Some(incarnation)) = (self.lease, self.incarnation) {
+                let former_of = |d: Duty| former.iter().find(|f| f.0 == d).map(|f| f.1);
+                let mine_before = |d: Duty| former_of(d).is_some();
+                if let Some(duty) = self.roster.take(now, &self.cfg.me, mine_before) {
+                    let holder = HolderRecord { owner: self.cfg.me.clone(), incarnation };
+                    let mut txn = Txn::default();
+                    txn.guard(duty.key(), former_of(duty).unwrap_or_default());
+                    txn.put(duty.key(), &holder, Some(lease));
+                    self.store(Lane::Renewal, StoreRequest::Txn(txn), Pending::Duty(duty));
+                }
+            }
+            let mine: Vec<Duty> = Duty::ALL.into_iter().filter(|d| self.holds(*d)).collect();
+            if let Some(duty) = self.roster.give(now, &self.cfg.me, |d| mine.contains(&d)) {
+                self.give_back(duty);
+            }
+        }
+        self.lead();
+        self.keep_renting();
+        if self.holds(Duty::Tidy) {
+            self.clean_up();
+        }
+        if self.holds(Duty::Tell) {
+            self.keep_losses();
+        } else {
+            self.forget_losses();
+        }
+        self.keep_admission();
+    }
+
+    /// Lets whoever should hold it have it: guarded, so it is only ever our own holding that ends.
+    fn give_back(&mut self, duty: Duty) {
+        let Some(epoch) = self.epoch(duty) else { return };
+        tracing::info!(duty = duty.key(), "giving back");
+        let mut txn = Txn::default();
+        txn.guard(duty.key(), epoch);
+        txn.delete(duty.key());
+        self.store(Lane::Renewal, StoreRequest::Txn(txn), Pending::Duty(duty));
+    }
+
+    /// Whatever came of it, the next reading tells.
+    pub(crate) fn on_duty(&mut self, duty: Duty, reply: StoreReply) {
+        self.roster.settled(duty);
+        self.want_sync = true;
+        if matches!(reply, StoreReply::Committed(_)) {
+            self.tell(None, cleatfold_wire::mesh::Message::Changed);
+        }
+    }
+
+    /// Parts whose job is gone are removed a few at a time.
+    fn clean_up(&mut self) {
+        if self.cleanup_inflight || !self.in_contact() {
+            return;
+        }
+        let mut txn = Txn::default();
+        'jobs: for (id, parts) in &self.mirror.parts {
+            if self.mirror.jobs.contains_key(id) {
+                continue;
+            }
+            for (part, (version, _)) in parts {
+                if txn.changes.len() >= self.cfg.txn_ops.min(8) {
+                    break 'jobs;
+                }
+                txn.guard(part_key(id, *part), *version);
+                txn.delete(part_key(id, *part));
+            }
+        }
+        for (id, parts) in &self.mirror.progress {
+            if self.mirror.jobs.contains_key(id) {
+                continue;
+            }
+            for (part, (version, _)) in parts {
+                if txn.changes.len() < self.cfg.txn_ops.min(8) {
+                    txn.guard(progress_key(id, *part), *version);
+                    txn.delete(progress_key(id, *part));
+                }
+            }
+        }
+        if !txn.changes.is_empty() {
+            let Some(epoch) = self.epoch(Duty::Tidy) else { return };
+            txn.guard(Duty::Tidy.key(), epoch);
+            self.cleanup_inflight = true;
+            self.store(Lane::Poll, StoreRequest::Txn(txn), Pending::Cleanup);
+        }
+    }
+}
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -1,18 +1,18 @@
-//! Leadership, the dealing of pools, sending jobs to pools, limits' slices, and the cloud.
+//! The dealing of pools, sending jobs to pools, and what owners see of their machines.
 //!
-//! Being leader is a hint: two leaders at once do no harm, since every change they make is
-//! guarded by the version of the key they change.
+//! Who deals is a hint: two at once do no harm, since every change they make is guarded by the
+//! version of the key they change.
 
-use crate::config::AimKind;
 use crate::effects::*;
 use crate::fleet::Machine;
 use crate::jobs::End;
 use crate::node::{Node, Pending};
 use crate::queue::Queued;
 use crate::records::*;
+use cleatfold_duties::Duty;
 use cleatfold_plan::pools::{choose, Load};
-use cleatfold_wire::cloud::{ListedMachine, MachineState, RentRequest};
-use cleatfold_wire::job::{JobSpec, Kind};
+use cleatfold_wire::cloud::{ListedMachine, MachineState};
+use cleatfold_wire::job::Kind;
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
@@ -25,10 +25,6 @@
 /// Looking at every machine costs by their number; nothing it finds is in a hurry.
 const WATCH_MS: u64 = 250;
 const DEAL_MS: u64 = 200;
-/// Rental requests under way at one time.
-const RENTS: usize = 4;
-/// Machines that one rental request may ask for, by the protocol.
-const RENT_COUNT: u32 = 50;
 
 /// A pool of ours, as its machines are watched by.
 struct OwnPool {
@@ -42,23 +38,10 @@
 }
 
 impl Node {
-    pub(crate) fn is_leader(&self) -> bool {
-        self.mirror.leader.as_ref().is_some_and(|(id, _)| *id == self.cfg.me)
-    }
-
+    /// Deals pools and sends jobs to them, for as long as that is ours to do.
     pub(crate) fn lead(&mut self) {
-        if self.mirror.leader.is_none() && !self.leading_asked && self.in_contact() {
-            if let Some(lease) = self.lease {
-                self.leading_asked = true;
-                let mut txn = Txn::default();
-                txn.guard(LEADER, Version(0));
-                txn.put(LEADER, &self.cfg.me, Some(lease));
-                self.store(Lane::Renewal, StoreRequest::Txn(txn), Pending::Lead);
-            }
-        }
-        if !self.is_leader() {
+        if !self.holds(Duty::Deal) {
             self.leader_since = None;
-            self.forget_losses();
             return;
         }
         let since = *self.leader_since.get_or_insert_with(|| {
@@ -70,10 +53,7 @@
         }
         if self.now.since(self.assigned_at) >= 500 * self.stretch {
             self.assign();
-            self.rent();
         }
-        self.clean_up();
-        self.keep_losses();
     }
 
     // ---- dealing ----
@@ -196,7 +176,7 @@
                 self.mirror.pools.get(&pool).map(|h| Version(h.token.0)).unwrap_or_default();
             tracing::info!(%pool, %node, "dealing");
             txn.guard(pool_key(&pool), version);
-            txn.put(pool_key(&pool), &PoolRecord { owner: node, incarnation }, None);
+            txn.put(pool_key(&pool), &HolderRecord { owner: node, incarnation }, None);
             self.dealt.insert(pool, self.now);
         }
         if txn.changes.is_empty() {
@@ -282,7 +262,7 @@
         pools: Vec<String>,
         jobs: Vec<(String, Vec<u16>)>,
     ) {
-        if self.mirror.leader.as_ref().map(|l| &l.0) != Some(from) {
+        if self.mirror.duties.get(&Duty::Deal).map(|h| &h.0.owner) != Some(from) {
             return;
         }
         let pools: Vec<Option<PoolId>> = pools.iter().map(|p| PoolId::parse(p)).collect();
@@ -301,159 +281,12 @@
         }
     }
 
-    // ---- renting ----
-
-    /// Rents for the work that the machines we have will not get through in time. Goes through
-    /// the queue in order and lets each job take what it may use of the supply; what it lacks
-    /// then is rented in the pool that suits it best. (Renting for the sum of the queue once
-    /// filled the region with machines that the waiting jobs could not use.)
-    fn rent(&mut self) {
-        if self.rent_inflight >= RENTS || self.list_at.is_none() {
-            return;
-        }
-        let usual_wait_s = self.cfg.usual_wait_s;
-        let stays = |spec: &JobSpec| (0.5 * spec.estimate_s / usual_wait_s).min(1.0);
-        let mut rooms = self.team_rooms(|live| stays(&live.record.spec));
-        let mut supply: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
-        for (id, m) in &self.fleet.machines {
-            if !m.takes_work() {
-                continue;
-            }
-            let mut free = self.fleet.total(&m.pool.machine_type).cpus as f64 / 1000.0;
-            for ((job, _), _) in self.mirror.claims.get(id).into_iter().flatten() {
-                if let Some(live) = self.mirror.jobs.get(job) {
-                    let spec = &live.record.spec;
-                    free -= spec.cpus * stays(spec);
-                }
-            }
-            *supply.entry((m.pool.clone(), m.spot)).or_default() += free.max(0.0);
-        }
-        let mut lacking: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
-        let sizes = self.fleet.sizes();
-        for Queued { job: id, tasks: unclaimed, growth } in self.queue() {
-            let Some(live) = self.mirror.jobs.get(&id) else { continue };
-            if growth {
-                continue;
-            }
-            let spec = &live.record.spec;
-            let target = (self.slack_s(live) * 0.8).clamp(5.0, 120.0);
-            let run = if spec.kind == Kind::Array { spec.estimate_s.max(1.0) } else { target };
-            let all = f64::from(unclaimed) * spec.cpus;
-            let mut lack = all.min(all * run / target).max(spec.cpus);
-            // Nothing is rented for what its team's limit will not let start.
-            if let Some(room) = rooms.get_mut(&spec.team) {
-                lack = lack.min(*room).max(0.0);
-                *room -= lack;
-            }
-            // Of a spread job, each zone can take only half.
-            let mut zones: BTreeMap<ZoneId, f64> = BTreeMap::new();
-            let per_zone = if spec.spread { all / 2.0 + spec.cpus } else { f64::INFINITY };
-            for ((pool, spot), free) in &mut supply {
-                if (*spot && !spec.spot) || !self.may_use(live, pool) {
-                    continue;
-                }
-                let zone = zones.entry(pool.zone.clone()).or_default();
-                let take = lack.min(*free).min(per_zone - *zone).max(0.0);
-                *free -= take;
-                *zone += take;
-                lack -= take;
-            }
-            if lack > 1e-9 {
-                if let Some(offer) = self.best_offer(live, &lacking, &zones, per_zone, &sizes) {
-                    *lacking.entry(offer).or_default() += lack;
-                }
-            }
-        }
-        let mut wanted: Vec<((PoolId, bool), f64)> = lacking.into_iter().collect();
-        wanted.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
-        for ((pool, spot), lack) in wanted {
-            if self.rent_inflight >= RENTS {
-                return;
-            }
-            self.rent_some(pool, spot, lack);
-        }
-    }
-
-    fn rent_some(&mut self, pool: PoolId, spot: bool, lack: f64) {
-        let Some(incarnation) = self.incarnation else { return };
-        // What was asked for and is not answered yet is on its way.
-        let asked = |p: &Pending| matches!(p, Pending::Rent { request, .. } if request.machine_type == pool.machine_type && request.zone == pool.zone && request.spot == spot);
-        if self.ops.values().any(asked) {
-            return;
-        }
-        let cpus = self.fleet.types.get(&pool.machine_type).map_or(1.0, |t| t.cpus.max(0.1));
-        let count = ((lack / cpus).ceil() as u32).clamp(1, RENT_COUNT);
-        self.rent_count += 1;
-        let request = RentRequest {
-            request: format!("{}-{}-{}", self.cfg.me, incarnation, self.rent_count),
-            machine_type: pool.machine_type.clone(),
-            zone: pool.zone.clone(),
-            spot,
-            count,
-        };
-        tracing::info!(%pool, spot, count, lack, "renting");
-        self.rent_inflight += 1;
-        let pending = Pending::Rent { request: request.clone(), tries: 0 };
-        self.cloud(CloudRequest::Rent(request), pending);
-    }
-
-    /// How long the tasks of a job may still wait if it is to meet what is expected of it.
-    fn slack_s(&self, live: &crate::mirror::Live) -> f64 {
-        let spec = &live.record.spec;
-        let elapsed = self.wall_ms.saturating_sub(live.record.accepted_ms) as f64 / 1000.0;
-        let aims = self.cfg.aims.iter().filter(|a| a.class == spec.class);
-        let waits = aims.filter_map(|a| match a.kind {
-            AimKind::Finished(within) => Some(within - spec.estimate_s),
-            AimKind::Deadline(times) => spec.deadline_s.map(|d| d * times - spec.estimate_s),
-            AimKind::Wait(within) => Some(within),
-        });
-        waits.min_by(f64::total_cmp).unwrap_or(self.cfg.usual_wait_s) - elapsed
-    }
-
-    /// Where to rent for a job: cheap per processor, soon up, and not all in one place.
-    fn best_offer(
-        &self,
-        live: &crate::mirror::Live,
-        lacking: &BTreeMap<(PoolId, bool), f64>,
-        zones: &BTreeMap<ZoneId, f64>,
-        per_zone: f64,
-        sizes: &BTreeMap<&PoolId, usize>,
-    ) -> Option<(PoolId, bool)> {
-        let mut best: Option<(f64, (PoolId, bool))> = None;
-        let all = self.fleet.machines.len().max(1) as f64;
-        for pool in self.fleet.pools() {
-            let Some(kind) = self.fleet.types.get(&pool.machine_type) else { continue };
-            let full = zones.get(&pool.zone).is_some_and(|z| *z >= per_zone);
-            if full || kind.cpus <= 0.0 || !self.may_use(live, &pool) {
-                continue;
-            }
-            for spot in [true, false] {
-                let key = (pool.clone(), spot);
-                let refused = self.refused.get(&key).is_some_and(|at| self.now.since(*at) < 20_000);
-                if (spot && !live.record.spec.spot) || refused {
-                    continue;
-                }
-                let price = if spot { kind.spot_price } else { kind.price };
-                let crowd = 1.0 + 0.5 * sizes.get(&pool).copied().unwrap_or(0) as f64 / all;
-                let mut rank = price / kind.cpus * (1.0 + kind.boot_s / 60.0) * crowd;
-                if lacking.contains_key(&key) {
-                    // Fill what is being rented anyway.
-                    rank *= 0.9;
-                }
-                if best.as_ref().is_none_or(|b| rank < b.0) {
-                    best = Some((rank, key));
-                }
-            }
-        }
-        best.map(|b| b.1)
-    }
-
     // ---- the cloud's answers ----
 
-    /// The leader does the renting: half of the cloud's rate is its, the others share the rest.
+    /// Half of the cloud's rate is for whoever rents, the others share the rest.
     pub(crate) fn cloud_spacing_ms(&self) -> u64 {
         let others = self.cfg.peers.len();
-        let share = match (others, self.is_leader()) {
+        let share = match (others, self.holds(Duty::Rent)) {
             (0, _) => 1.0,
             (_, true) => 0.5,
             (n, false) => 0.5 / n as f64,
@@ -532,41 +365,6 @@
         }
     }
 
-    fn on_rent(&mut self, request: RentRequest, tries: u32, reply: CloudReply) {
-        let pool =
-            PoolId { machine_type: request.machine_type.clone(), zone: request.zone.clone() };
-        match reply {
-            CloudReply::Rented(machines) => {
-                self.rent_inflight -= 1;
-                if (machines.len() as u32) < request.count {
-                    self.refused.insert((pool.clone(), request.spot), self.now);
-                }
-                tracing::info!(%pool, spot = request.spot, ?machines, "rented");
-                for id in machines {
-                    let now = self.now;
-                    self.fleet
-                        .machines
-                        .entry(id)
-                        .or_insert_with(|| Machine::new(pool.clone(), request.spot, now));
-                }
-                self.dirty = true;
-            }
-            CloudReply::NoCapacity => {
-                self.rent_inflight -= 1;
-                self.refused.insert((pool, request.spot), self.now);
-            }
-            // The same name again rents nothing twice.
-            _ if tries < 3 => {
-                let pending = Pending::Rent { request: request.clone(), tries: tries + 1 };
-                self.cloud(CloudRequest::Rent(request), pending);
-            }
-            _ => {
-                self.rent_inflight -= 1;
-                self.refused.insert((pool, request.spot), self.now);
-            }
-        }
-    }
-
     fn on_list(&mut self, list: Vec<ListedMachine>) {
         let now = self.now;
         for listed in &list {
@@ -797,39 +595,4 @@
             }
         }
     }
-
-    /// Parts whose job is gone are removed a few at a time.
-    fn clean_up(&mut self) {
-        if self.cleanup_inflight || !self.in_contact() {
-            return;
-        }
-        let mut txn = Txn::default();
-        'jobs: for (id, parts) in &self.mirror.parts {
-            if self.mirror.jobs.contains_key(id) {
-                continue;
-            }
-            for (part, (version, _)) in parts {
-                if txn.changes.len() >= self.cfg.txn_ops.min(8) {
-                    break 'jobs;
-                }
-                txn.guard(part_key(id, *part), *version);
-                txn.delete(part_key(id, *part));
-            }
-        }
-        for (id, parts) in &self.mirror.progress {
-            if self.mirror.jobs.contains_key(id) {
-                continue;
-            }
-            for (part, (version, _)) in parts {
-                if txn.changes.len() < self.cfg.txn_ops.min(8) {
-                    txn.guard(progress_key(id, *part), *version);
-                    txn.delete(progress_key(id, *part));
-                }
-            }
-        }
-        if !txn.changes.is_empty() {
-            self.cleanup_inflight = true;
-            self.store(Lane::Poll, StoreRequest::Txn(txn), Pending::Cleanup);
-        }
-    }
 }
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod archive;
 pub mod config;
+mod duties;
 pub mod effects;
 mod fleet;
 mod jobs;
@@ -17,6 +18,7 @@
 mod pace;
 mod queue;
 pub mod records;
+mod renting;
 mod requests;
 mod schedule;
 mod shrink;
--- a/crates/cleatfold-control/src/losses.rs
+++ b/crates/cleatfold-control/src/losses.rs
@@ -9,6 +9,7 @@
 use crate::effects::*;
 use crate::node::{Node, Pending};
 use crate::records::*;
+use cleatfold_duties::Duty;
 use cleatfold_wire::losses::{Loss, TeamLosses};
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
@@ -60,7 +61,7 @@
 }
 
 impl Node {
-    /// Only the leader, at each tick.
+    /// Only whoever holds the duty, at each tick.
     pub(crate) fn keep_losses(&mut self) {
         if !self.losses.read {
             if !self.losses.reading {
@@ -88,7 +89,7 @@
         self.write_losses();
     }
 
-    /// Whoever does not lead keeps nothing.
+    /// Whoever does not hold it keeps nothing.
     pub(crate) fn forget_losses(&mut self) {
         if self.losses.read && !self.losses.writing {
             self.losses = Losses::default();
@@ -116,7 +117,9 @@
         let team = team.clone();
         let (version, head) = self.mirror.loss_heads.get(&team).cloned().unwrap_or_default();
         let group: Vec<Loss> = list.iter().take(GROUP).map(|(_, loss)| loss.clone()).collect();
+        let Some(epoch) = self.epoch(Duty::Tell) else { return };
         let mut txn = Txn::default();
+        txn.guard(Duty::Tell.key(), epoch);
         txn.guard(loss_head_key(&team), version);
         txn.put(loss_head_key(&team), &LossHead { next: head.next + 1 }, None);
         txn.put(loss_log_key(&team, head.next), &group, None);
--- a/crates/cleatfold-control/src/mirror.rs
+++ b/crates/cleatfold-control/src/mirror.rs
@@ -6,6 +6,7 @@
 
 use crate::records::*;
 use cleatfold_admission::Allotment;
+use cleatfold_duties::{Duty, RentBook};
 use cleatfold_elastic::{Part, PartRecord, Progress, Width};
 use cleatfold_plan::Resources;
 use cleatfold_wire::store::{Event, Item};
@@ -116,7 +117,10 @@
     pub progress: BTreeMap<JobId, ProgressMap>,
     pub pools: BTreeMap<PoolId, Holding>,
     pub nodes: BTreeMap<NodeId, (u64, Version)>,
-    pub leader: Option<(NodeId, Version)>,
+    /// Who holds what, and under which epoch.
+    pub duties: BTreeMap<Duty, (HolderRecord, Version)>,
+    /// What was asked of the cloud, or is about to be.
+    pub rents: (Version, RentBook),
     pub slices: BTreeMap<TeamId, (Version, SliceRecord)>,
     /// What is agreed on while there is overload.
     pub allotment: (Version, Allotment),
@@ -160,7 +164,8 @@
             Key::Node(id) => self.nodes.get(id).map(|n| n.1),
             Key::Slice(team) => self.slices.get(team).map(|s| s.0),
             Key::LossHead(team) => self.loss_heads.get(team).map(|h| h.0),
-            Key::Leader => self.leader.as_ref().map(|l| l.1),
+            Key::Duty(duty) => self.duties.get(duty).map(|h| h.1),
+            Key::Rents => Some(self.rents.0).filter(|v| *v > Version(0)),
             Key::Allotment => Some(self.allotment.0).filter(|v| *v > Version(0)),
         };
         live.or_else(|| self.removed.get(key).copied()).unwrap_or_default()
@@ -182,7 +187,7 @@
                     Err(error) => tracing::error!(key, %error, "unreadable record"),
                 })
             }
-            Key::Pool(id) => serde_json::from_str(value).map(|r: PoolRecord| {
+            Key::Pool(id) => serde_json::from_str(value).map(|r: HolderRecord| {
                 let token = Token(version.0);
                 self.pools
                     .insert(id, Holding { owner: r.owner, incarnation: r.incarnation, token });
@@ -199,8 +204,11 @@
             Key::Allotment => serde_json::from_str(value).map(|allotment| {
                 self.allotment = (version, allotment);
             }),
-            Key::Leader => serde_json::from_str(value).map(|node| {
-                self.leader = Some((node, version));
+            Key::Duty(duty) => serde_json::from_str(value).map(|holder| {
+                self.duties.insert(duty, (holder, version));
+            }),
+            Key::Rents => serde_json::from_str(value).map(|book| {
+                self.rents = (version, book);
             }),
         };
         if let Err(error) = result {
@@ -254,7 +262,10 @@
             Key::LossHead(team) => {
                 self.loss_heads.remove(&team);
             }
-            Key::Leader => self.leader = None,
+            Key::Duty(duty) => {
+                self.duties.remove(&duty);
+            }
+            Key::Rents => self.rents = Default::default(),
             Key::Allotment => self.allotment = Default::default(),
         }
         if self.removed.insert(key.to_string(), version).is_none() {
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -7,6 +7,7 @@
 use crate::mirror::Mirror;
 use crate::records::*;
 use crate::schedule::Plans;
+use cleatfold_duties::{Duty, Roster};
 use cleatfold_wire::cloud::RentRequest;
 use cleatfold_wire::job::JobSpec;
 use cleatfold_wire::mesh::Message;
@@ -42,7 +43,10 @@
         sent: Ms,
     },
     Enlist,
-    Lead,
+    /// Taking a duty, or giving it back.
+    Duty(Duty),
+    /// The record of rentals, and what to ask for once it is durable.
+    Rents(Box<cleatfold_duties::rents::Step>),
     /// Any transaction on pool keys or slices: whatever comes of it, the next sync tells.
     Deal,
     Slice {
@@ -148,7 +152,7 @@
     pub(crate) lease_sent: Ms,
     pub(crate) incarnation: Option<u64>,
     enlisting: bool,
-    pub(crate) leading_asked: bool,
+    pub(crate) roster: Roster,
     pub(crate) leader_since: Option<Ms>,
     pub(crate) dealing: Option<u64>,
     /// When the leader last looked whether pools have to be dealt.
@@ -185,9 +189,7 @@
     pub(crate) alive_sent: Ms,
     pub(crate) plans: Plans,
     pub(crate) dirty: bool,
-    pub(crate) refused: BTreeMap<(PoolId, bool), Ms>,
-    pub(crate) rent_inflight: usize,
-    pub(crate) rent_count: u64,
+    pub(crate) renting: crate::renting::Renting,
     pub(crate) assigned_at: Ms,
     pub(crate) limits: crate::limits::Limits,
     pub(crate) admission: crate::admission::Admission,
@@ -232,7 +234,7 @@
             lease_sent: Ms(0),
             incarnation: None,
             enlisting: false,
-            leading_asked: false,
+            roster: Default::default(),
             leader_since: None,
             dealing: None,
             deal_looked: Ms(0),
@@ -263,9 +265,7 @@
             alive_sent: Ms(0),
             plans: Plans::default(),
             dirty: false,
-            refused: BTreeMap::new(),
-            rent_inflight: 0,
-            rent_count: 0,
+            renting: Default::default(),
             assigned_at: Ms(0),
             limits: Default::default(),
             admission: Default::default(),
@@ -365,8 +365,7 @@
         if !self.serving() {
             return;
         }
-        self.lead();
-        self.keep_admission();
+        self.keep_duties();
         self.watch_machines();
         self.complete_elastic();
         self.plan_if_due();
@@ -642,10 +641,8 @@
                 }
                 self.want_sync = true;
             }
-            Pending::Lead => {
-                self.leading_asked = false;
-                self.want_sync = true;
-            }
+            Pending::Duty(duty) => self.on_duty(duty, reply),
+            Pending::Rents(step) => self.on_rents_written(*step, reply),
             Pending::Deal => {
                 self.dealing = None;
                 self.deal_settled = self.now;
@@ -704,6 +701,12 @@
                     }
                 }
             }
+            Message::Rented { pool, spot, machines } => {
+                if let Some(pool) = PoolId::parse(&pool) {
+                    let machines = machines.into_iter().map(MachineId::new).collect();
+                    self.note_rented(&pool, spot, machines);
+                }
+            }
             Message::Assign { pools, jobs } => self.on_assign(&from, pools, jobs),
             Message::Promises { pool, token, promises } => {
                 let Some(pool) = PoolId::parse(&pool) else {
--- a/crates/cleatfold-control/src/records.rs
+++ b/crates/cleatfold-control/src/records.rs
@@ -9,6 +9,7 @@
 
 pub use losses::*;
 
+use cleatfold_duties::Duty;
 use cleatfold_plan::Resources;
 use cleatfold_wire::job::{JobSpec, JobState, JobStatus};
 use cleatfold_wire::*;
@@ -28,7 +29,7 @@
 const NODES: &str = "cf/node/";
 const SLICES: &str = "cf/slice/";
 const LOSS_HEADS: &str = "cf/loss/";
-pub const LEADER: &str = "cf/leader";
+pub const RENTS_KEY: &str = "cf/rents";
 pub const ALLOTMENT: &str = "cf/allotment";
 
 pub fn job_key(job: &JobId) -> String {
@@ -68,7 +69,8 @@
     Node(NodeId),
     Slice(TeamId),
     LossHead(TeamId),
-    Leader,
+    Duty(Duty),
+    Rents,
     Allotment,
 }
 
@@ -89,8 +91,10 @@
         Some(Key::Slice(TeamId::new(id)))
     } else if let Some(id) = key.strip_prefix(LOSS_HEADS) {
         Some(Key::LossHead(TeamId::new(id)))
-    } else if key == LEADER {
-        Some(Key::Leader)
+    } else if let Some(duty) = Duty::of_key(key) {
+        Some(Key::Duty(duty))
+    } else if key == RENTS_KEY {
+        Some(Key::Rents)
     } else if key == ALLOTMENT {
         Some(Key::Allotment)
     } else {
@@ -98,10 +102,10 @@
     }
 }
 
-/// Who owns a pool. The incarnation tells a restarted owner from the one that was dealt the
+/// Who owns a pool, or holds a duty. The incarnation tells a restarted owner from the one that was dealt the
 /// pool: a restart gets a new token, so nothing of the former life can speak for it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PoolRecord {
+pub struct HolderRecord {
     #[serde(rename = "o")]
     pub owner: NodeId,
     #[serde(rename = "i")]
--- /dev/null
+++ b/crates/cleatfold-control/src/renting.rs
@@ -0,0 +1,284 @@
+//! Renting machines, under the duty of that name: an intent first, then the call.
+//!
+//! The cloud cannot tell a holder that was replaced from the one that came after it. So what is
+//! asked of it is first written under the duty's epoch: a former holder's write fails, and it has
+//! nothing to ask for. Whoever comes next asks for the same by the same names.
+
+use crate::config::AimKind;
+use crate::effects::*;
+use crate::fleet::Machine;
+use crate::node::{Node, Pending};
+use crate::queue::Queued;
+use crate::records::*;
+use cleatfold_duties::rents::Step;
+use cleatfold_duties::{Answer, Desk, Duty, Intent};
+use cleatfold_wire::cloud::RentRequest;
+use cleatfold_wire::job::{JobSpec, Kind};
+use cleatfold_wire::mesh::Message;
+use cleatfold_wire::store::Txn;
+use cleatfold_wire::*;
+use std::collections::BTreeMap;
+
+const LOOK_MS: u64 = 500;
+/// Requests that stand in the record at one time.
+const RENTS: usize = 4;
+/// Machines that one request may ask for, by the protocol.
+const RENT_COUNT: u32 = 50;
+
+#[derive(Debug, Default)]
+pub(crate) struct Renting {
+    desk: Desk,
+    count: u64,
+    looked: Ms,
+    writing: bool,
+    /// Since when what we have read may be older than what we wrote.
+    stale: Option<Ms>,
+}
+
+impl Node {
+    /// Rents what is lacking, for as long as that is ours to do and the state service says so.
+    pub(crate) fn keep_renting(&mut self) {
+        let due = self.now.since(self.renting.looked) >= LOOK_MS * self.stretch;
+        if !due || !self.holds(Duty::Rent) || !self.in_contact() || self.list_at.is_none() {
+            return;
+        }
+        self.renting.looked = self.now;
+        let read = self.renting.stale.is_none_or(|s| self.fresh.is_some_and(|f| f > s));
+        if self.renting.writing || !read {
+            return;
+        }
+        self.renting.stale = None;
+        let new = self.new_intents();
+        let Some(epoch) = self.epoch(Duty::Rent) else { return };
+        let lag_ms = 2 * self.cfg.list_lag_ms + 5000;
+        let (version, book) = &self.mirror.rents;
+        let times = (self.now, self.wall_ms);
+        let Some(step) = self.renting.desk.next(book, epoch, new, times, lag_ms) else { return };
+        let mut txn = Txn::default();
+        txn.guard(RENTS_KEY, *version);
+        txn.guard(Duty::Rent.key(), epoch);
+        txn.put(RENTS_KEY, &step.book, None);
+        self.renting.writing = true;
+        self.store(Lane::Renewal, StoreRequest::Txn(txn), Pending::Rents(Box::new(step)));
+    }
+
+    fn new_intents(&mut self) -> Vec<Intent> {
+        let Some(incarnation) = self.incarnation else { return vec![] };
+        // What is answered and only not yet out of the record holds nobody up.
+        let coming = self.renting.desk.coming(&self.mirror.rents.1);
+        let open: Vec<(PoolId, bool)> = coming.map(|i| (i.pool(), i.spot)).collect();
+        let free = RENTS.saturating_sub(open.len());
+        if free == 0 {
+            return vec![];
+        }
+        let mut new = Vec::new();
+        for ((pool, spot), lack) in self.lacking() {
+            // One at a time for the same machines.
+            if new.len() >= free || open.contains(&(pool.clone(), spot)) {
+                continue;
+            }
+            let cpus = self.fleet.types.get(&pool.machine_type).map_or(1.0, |t| t.cpus.max(0.1));
+            let count = ((lack / cpus).ceil() as u32).clamp(1, RENT_COUNT);
+            self.renting.count += 1;
+            tracing::info!(%pool, spot, count, lack, "renting");
+            new.push(Intent {
+                name: format!("{}-{}-{}", self.cfg.me, incarnation, self.renting.count),
+                machine_type: pool.machine_type,
+                zone: pool.zone,
+                spot,
+                count,
+                inherited: false,
+            });
+        }
+        new
+    }
+
+    pub(crate) fn on_rents_written(&mut self, step: Step, reply: StoreReply) {
+        self.renting.writing = false;
+        match reply {
+            StoreReply::Committed(version) => {
+                if self.mirror.rents.0 < version {
+                    self.mirror.rents = (version, step.book);
+                }
+                self.renting.desk.called(&step.calls);
+                for intent in step.calls {
+                    if intent.inherited {
+                        tracing::info!(request = %intent.name, "asking once more for what stands");
+                    }
+                    let request = intent.request();
+                    let pending = Pending::Rent { request: request.clone(), tries: 0 };
+                    self.cloud(CloudRequest::Rent(request), pending);
+                }
+            }
+            // Perhaps it is durable: then the intents stand, and are met like a former holder's.
+            _ => {
+                self.renting.stale = Some(self.now);
+                self.want_sync = true;
+            }
+        }
+    }
+
+    pub(crate) fn on_rent(&mut self, request: RentRequest, tries: u32, reply: CloudReply) {
+        let pool =
+            PoolId { machine_type: request.machine_type.clone(), zone: request.zone.clone() };
+        let answer = match reply {
+            CloudReply::Rented(machines) => {
+                tracing::info!(%pool, spot = request.spot, ?machines, "rented");
+                let short = (machines.len() as u32) < request.count;
+                let names = machines.iter().map(|m| m.to_string()).collect();
+                let message =
+                    Message::Rented { pool: pool.to_string(), spot: request.spot, machines: names };
+                self.tell(None, message);
+                self.note_rented(&pool, request.spot, machines);
+                if short {
+                    Answer::Short
+                } else {
+                    Answer::Given
+                }
+            }
+            CloudReply::NoCapacity => Answer::Short,
+            // The same name again rents nothing twice.
+            _ if tries < 3 => {
+                let pending = Pending::Rent { request: request.clone(), tries: tries + 1 };
+                return self.cloud(CloudRequest::Rent(request), pending);
+            }
+            _ => Answer::Unknown,
+        };
+        self.renting.desk.answered(&request.request, answer, self.now);
+    }
+
+    /// Machines that will come up, as the cloud has just said to us or to whoever rents.
+    pub(crate) fn note_rented(&mut self, pool: &PoolId, spot: bool, machines: Vec<MachineId>) {
+        let now = self.now;
+        for id in machines {
+            if !self.fleet.is_deleted(&id) {
+                let new = || Machine::new(pool.clone(), spot, now);
+                self.fleet.machines.entry(id).or_insert_with(new);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// What the machines we have and expect will not get through in time, and where it is best
+    /// rented for, in processors, most first. Goes through
+    /// the queue in order and lets each job take what it may use of the supply; what it lacks
+    /// then is rented in the pool that suits it best. (Renting for the sum of the queue once
+    /// filled the region with machines that the waiting jobs could not use.)
+    fn lacking(&self) -> Vec<((PoolId, bool), f64)> {
+        let usual_wait_s = self.cfg.usual_wait_s;
+        let stays = |spec: &JobSpec| (0.5 * spec.estimate_s / usual_wait_s).min(1.0);
+        let mut rooms = self.team_rooms(|live| stays(&live.record.spec));
+        let mut supply: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
+        for (id, m) in &self.fleet.machines {
+            if !m.takes_work() {
+                continue;
+            }
+            let mut free = self.fleet.total(&m.pool.machine_type).cpus as f64 / 1000.0;
+            for ((job, _), _) in self.mirror.claims.get(id).into_iter().flatten() {
+                if let Some(live) = self.mirror.jobs.get(job) {
+                    let spec = &live.record.spec;
+                    free -= spec.cpus * stays(spec);
+                }
+            }
+            *supply.entry((m.pool.clone(), m.spot)).or_default() += free.max(0.0);
+        }
+        // What stands in the record is on its way, whoever asked for it.
+        for intent in self.renting.desk.coming(&self.mirror.rents.1) {
+            let kind = self.fleet.types.get(&intent.machine_type);
+            let cpus = kind.map_or(0.0, |t| t.cpus) * f64::from(intent.count);
+            *supply.entry((intent.pool(), intent.spot)).or_default() += cpus;
+        }
+        let mut lacking: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
+        let sizes = self.fleet.sizes();
+        for Queued { job: id, tasks: unclaimed, growth } in self.queue() {
+            let Some(live) = self.mirror.jobs.get(&id) else { continue };
+            if growth {
+                continue;
+            }
+            let spec = &live.record.spec;
+            let target = (self.slack_s(live) * 0.8).clamp(5.0, 120.0);
+            let run = if spec.kind == Kind::Array { spec.estimate_s.max(1.0) } else { target };
+            let all = f64::from(unclaimed) * spec.cpus;
+            let mut lack = all.min(all * run / target).max(spec.cpus);
+            // Nothing is rented for what its team's limit will not let start.
+            if let Some(room) = rooms.get_mut(&spec.team) {
+                lack = lack.min(*room).max(0.0);
+                *room -= lack;
+            }
+            // Of a spread job, each zone can take only half.
+            let mut zones: BTreeMap<ZoneId, f64> = BTreeMap::new();
+            let per_zone = if spec.spread { all / 2.0 + spec.cpus } else { f64::INFINITY };
+            for ((pool, spot), free) in &mut supply {
+                if (*spot && !spec.spot) || !self.may_use(live, pool) {
+                    continue;
+                }
+                let zone = zones.entry(pool.zone.clone()).or_default();
+                let take = lack.min(*free).min(per_zone - *zone).max(0.0);
+                *free -= take;
+                *zone += take;
+                lack -= take;
+            }
+            if lack > 1e-9 {
+                if let Some(offer) = self.best_offer(live, &lacking, &zones, per_zone, &sizes) {
+                    *lacking.entry(offer).or_default() += lack;
+                }
+            }
+        }
+        let mut wanted: Vec<((PoolId, bool), f64)> = lacking.into_iter().collect();
+        wanted.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        wanted
+    }
+
+    /// How long the tasks of a job may still wait if it is to meet what is expected of it.
+    fn slack_s(&self, live: &crate::mirror::Live) -> f64 {
+        let spec = &live.record.spec;
+        let elapsed = self.wall_ms.saturating_sub(live.record.accepted_ms) as f64 / 1000.0;
+        let aims = self.cfg.aims.iter().filter(|a| a.class == spec.class);
+        let waits = aims.filter_map(|a| match a.kind {
+            AimKind::Finished(within) => Some(within - spec.estimate_s),
+            AimKind::Deadline(times) => spec.deadline_s.map(|d| d * times - spec.estimate_s),
+            AimKind::Wait(within) => Some(within),
+        });
+        waits.min_by(f64::total_cmp).unwrap_or(self.cfg.usual_wait_s) - elapsed
+    }
+
+    /// Where to rent for a job: cheap per processor, soon up, and not all in one place.
+    fn best_offer(
+        &self,
+        live: &crate::mirror::Live,
+        lacking: &BTreeMap<(PoolId, bool), f64>,
+        zones: &BTreeMap<ZoneId, f64>,
+        per_zone: f64,
+        sizes: &BTreeMap<&PoolId, usize>,
+    ) -> Option<(PoolId, bool)> {
+        let mut best: Option<(f64, (PoolId, bool))> = None;
+        let all = self.fleet.machines.len().max(1) as f64;
+        for pool in self.fleet.pools() {
+            let Some(kind) = self.fleet.types.get(&pool.machine_type) else { continue };
+            let full = zones.get(&pool.zone).is_some_and(|z| *z >= per_zone);
+            if full || kind.cpus <= 0.0 || !self.may_use(live, &pool) {
+                continue;
+            }
+            for spot in [true, false] {
+                let key = (pool.clone(), spot);
+                let book = &self.mirror.rents.1;
+                let refused = book.is_refused(&pool, spot, self.wall_ms)
+                    || self.renting.desk.was_short(book, &pool, spot);
+                if (spot && !live.record.spec.spot) || refused {
+                    continue;
+                }
+                let price = if spot { kind.spot_price } else { kind.price };
+                let crowd = 1.0 + 0.5 * sizes.get(&pool).copied().unwrap_or(0) as f64 / all;
+                let mut rank = price / kind.cpus * (1.0 + kind.boot_s / 60.0) * crowd;
+                if lacking.contains_key(&key) {
+                    // Fill what is being rented anyway.
+                    rank *= 0.9;
+                }
+                if best.as_ref().is_none_or(|b| rank < b.0) {
+                    best = Some((rank, key));
+                }
+            }
+        }
+        best.map(|b| b.1)
+    }
+}
--- a/crates/cleatfold-control/tests/admission.rs
+++ b/crates/cleatfold-control/tests/admission.rs
@@ -2,7 +2,8 @@
 //! decides is killed, cut off and replaced.
 
 use cleatfold_admission::Allotment;
-use cleatfold_control::records::{ALLOTMENT, LEADER};
+use cleatfold_control::records::{HolderRecord, ALLOTMENT};
+use cleatfold_duties::Duty;
 use cleatfold_lab::world::{node_id, Happens, Size, World, NODES};
 use cleatfold_wire::job::Urgency;
 use cleatfold_wire::*;
@@ -36,9 +37,9 @@
 }
 
 fn holder(world: &World) -> Option<usize> {
-    let item = world.store.get(LEADER)?;
-    let name: NodeId = serde_json::from_str(item.value.get()).ok()?;
-    (0..NODES).find(|i| node_id(*i) == name)
+    let item = world.store.get(Duty::Allot.key())?;
+    let holder: HolderRecord = serde_json::from_str(item.value.get()).ok()?;
+    (0..NODES).find(|i| node_id(*i) == holder.owner)
 }
 
 fn play(seed: u64, admission: bool, mut trouble: impl FnMut(&mut World, u64)) -> (World, f64) {
@@ -75,7 +76,7 @@
 }
 
 /// Whoever decides is killed again and again, and cut off with its packets held, so that what it
-/// wrote may arrive when another one leads. Seen to fail without the guard on the leader's key.
+/// wrote may arrive when another one decides. Seen to fail without the guard on the duty's key.
 #[test]
 fn a_replaced_holder_changes_nothing_any_more() {
     let mut epochs = 0;
@@ -92,15 +93,15 @@
                     }
                 }
             }
-            // Whatever is written was decided by who leads at that moment.
+            // Whatever is written was decided by who held the duty at that moment.
             for ms in 0..100 {
-                let leading = world.store.get(LEADER).map(|i| i.version);
+                let leading = world.store.get(Duty::Allot.key()).map(|i| i.version);
                 world.run(Ms(second * 1000 + (ms + 1) * 10));
                 let Some(item) = world.store.get(ALLOTMENT) else { continue };
                 let now: Allotment = serde_json::from_str(item.value.get()).expect("an allotment");
                 if now != last {
                     assert!(now.generation > last.generation && now.epoch >= last.epoch);
-                    let after = world.store.get(LEADER).map(|i| i.version);
+                    let after = world.store.get(Duty::Allot.key()).map(|i| i.version);
                     assert!([leading, after].contains(&Some(now.epoch)), "by a former holder");
                     epochs += u32::from(now.epoch != last.epoch);
                     last = now;
--- a/crates/cleatfold-control/tests/elastic.rs
+++ b/crates/cleatfold-control/tests/elastic.rs
@@ -197,7 +197,7 @@
     let worker = &world.workers[&machine];
     let key = format!("cf/pool/{}/{}", worker.machine_type, worker.zone);
     let holder = world.store.get(&key).expect("the pool is held");
-    let record: records::PoolRecord = serde_json::from_str(holder.value.get()).expect("a pool");
+    let record: records::HolderRecord = serde_json::from_str(holder.value.get()).expect("a pool");
     let owner = (0..NODES).find(|i| node_id(*i) == record.owner).expect("a node");
     world.crash(owner, 20_000);
     world.run(world.now.plus(15_000));
--- a/crates/cleatfold-control/tests/world.rs
+++ b/crates/cleatfold-control/tests/world.rs
@@ -54,7 +54,7 @@
     let machine = &world.workers[&world.running[&task]];
     let key = format!("cf/pool/{}/{}", machine.machine_type, machine.zone);
     let holder = world.store.get(&key).expect("the pool is held");
-    let record: records::PoolRecord = serde_json::from_str(holder.value.get()).expect("a pool");
+    let record: records::HolderRecord = serde_json::from_str(holder.value.get()).expect("a pool");
     let owner = (0..NODES).find(|i| node_id(*i) == record.owner).expect("a node");
 
     // No peer tells it, and no one can delete its machines instead.
@@ -154,7 +154,7 @@
 #[test]
 fn a_restarted_node_gets_its_pools_back() {
     let owners = |world: &World| -> BTreeMap<String, (NodeId, Version)> {
-        let read = |v: &str| serde_json::from_str::<records::PoolRecord>(v).expect("a pool");
+        let read = |v: &str| serde_json::from_str::<records::HolderRecord>(v).expect("a pool");
         let pools = world.store.list("cf/pool/", None, 99).items;
         pools.iter().map(|i| (i.key.clone(), (read(i.value.get()).owner, i.version))).collect()
     };
--- a/crates/cleatfold-standin/src/cloud.rs
+++ b/crates/cleatfold-standin/src/cloud.rs
@@ -18,6 +18,10 @@
     pub machines: BTreeMap<MachineId, Rented>,
     /// How many machines may exist.
     pub capacity: usize,
+    /// How old the list is.
+    pub lag_ms: u64,
+    /// Requests as they came, and how many machines each rented anew.
+    pub asked: Vec<(Ms, RentRequest, usize)>,
     requests: BTreeMap<String, Vec<MachineId>>,
     next: u64,
 }
@@ -26,6 +30,7 @@
     /// The machines rented; `None` where there is no capacity.
     pub fn rent(&mut self, now: Ms, request: &RentRequest) -> Option<Vec<MachineId>> {
         if let Some(before) = self.requests.get(&request.request) {
+            self.asked.push((now, request.clone(), 0));
             return Some(before.clone());
         }
         let kind = self.types.iter().find(|t| t.name == request.machine_type)?;
@@ -49,6 +54,7 @@
             );
             names.push(id);
         }
+        self.asked.push((now, request.clone(), names.len()));
         if names.is_empty() {
             return None;
         }
@@ -65,6 +71,7 @@
     pub fn list(&self, now: Ms) -> Vec<ListedMachine> {
         self.machines
             .iter()
+            .filter(|(_, m)| now.since(m.at) >= self.lag_ms)
             .map(|(id, m)| ListedMachine {
                 id: id.clone(),
                 machine_type: m.machine_type.clone(),
--- a/crates/cleatfold-wire/src/mesh.rs
+++ b/crates/cleatfold-wire/src/mesh.rs
@@ -23,4 +23,6 @@
     Alive { contact_age_ms: u64 },
     /// Something was written that the others will want to read now.
     Changed,
+    /// The cloud has just rented these: whoever owns their pool need not wait for the list.
+    Rented { pool: String, spot: bool, machines: Vec<String> },
 }
--- a/docs/days/make.py
+++ b/docs/days/make.py
@@ -8,7 +8,8 @@
 services take stay as they are. `--zone` adds a zone with as many machines as the first one has;
 `--machines` multiplies the machines alone, and `--team` lets a team send more or less of the same traffic.
 `day` writes one day. A TROUBLE is `burst:CLASS:TIMES:SECONDS`, `roll`, `kill` (all controllers), `cut`
-(a zone), `half` (half of the machines die) or `calm`. See README.md beside this file for what the days are for.
+(a zone), `half` (half of the machines die), `replaced` (controllers cut off and frozen in turn, machines
+dying) or `calm`. See README.md beside this file for what the days are for.
 """
 import random
 import re
@@ -65,6 +66,12 @@
             faults.append(dict(at_s=at, kind="zone_cut", zone=zones[1], for_s=2 * lease, mode="hold"))
         elif kind == "half":
             faults.append(dict(at_s=at, kind="machine_die", count=max(1, up // 2)))
+        elif kind == "replaced":
+            for i in range(4):
+                cut = dict(kind="node_cut", count=1, busiest=True, from_state=i % 2 == 1, mode="hold")
+                faults.append(dict(at_s=at + 60 * i, for_s=30.0, **cut))
+                faults.append(dict(at_s=at + 60 * i + 25, kind="node_freeze", count=1, busiest=True, for_s=20.0))
+                faults.append(dict(at_s=at + 60 * i + 5, kind="machine_die", count=max(1, up // 8)))
         elif kind != "calm":
             sys.exit(f"no such trouble: {word}\n{__doc__}")
     return faults
