Renting under a duty explored in every order of events; each guard seen to be needed

Need: that a replaced holder can do no harm was argued and played, not shown for every order.

Change: a plain search through all states of two controllers taking, losing, restarting, reading, writing and calling late, with the service's own record and holder's memory (the usual library for this could not be had). Without the epoch's guard, with calls before the commit, without counting intents, or without both guards of the record, a counterexample is found.

Measured: nothing of the service changes but derives.

--- a/crates/cleatfold-duties/src/rents.rs
+++ b/crates/cleatfold-duties/src/rents.rs
@@ -17,7 +17,7 @@
 /// What is over is taken out of the record with the next rental, or after so long.
 const CLOSE_MS: u64 = 10_000;
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Intent {
     #[serde(rename = "n")]
     pub name: String,
@@ -51,7 +51,7 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Refused {
     #[serde(rename = "t")]
     pub machine_type: TypeId,
@@ -66,7 +66,7 @@
     pub pause_ms: u64,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RentBook {
     /// Under which version of the duty's key it was written.
     #[serde(rename = "e", default)]
@@ -91,7 +91,7 @@
 }
 
 /// What became of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Answer {
     /// All that was asked for.
     Given,
@@ -102,7 +102,7 @@
 }
 
 /// The holder's memory beside the record.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Desk {
     calling: BTreeSet<String>,
     answered: BTreeMap<String, (Answer, Ms)>,
@@ -111,7 +111,7 @@
 }
 
 /// What to write next, and what to ask the cloud for once that is durable.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Step {
     pub book: RentBook,
     pub calls: Vec<Intent>,
--- /dev/null
+++ b/crates/cleatfold-duties/tests/explored.rs
@@ -0,0 +1,216 @@
+//! Renting under a duty, explored in every order of what can happen: two controllers take it, lose
+//! it, read, write and call, and any write or call may arrive after its sender was replaced or
+//! restarted. The record and the holder's memory are the service's own.
+//!
+//! (The search is a plain one through all states; no library for it could be had here.)
+
+use cleatfold_duties::{Answer, Desk, Intent, RentBook};
+use cleatfold_wire::{Ms, TypeId, Version, ZoneId};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const NODES: usize = 2;
+/// How often the duty may change hands, and how many requests a controller may name.
+const HANDS: u64 = 2;
+const NAMES: u32 = 1;
+
+/// The guards, to be removed one at a time.
+#[derive(Clone, Copy)]
+struct Guards {
+    /// A write is guarded by the duty's epoch.
+    epoch: bool,
+    /// And by the version of the record that it was made from.
+    record: bool,
+    /// The cloud is asked only once the record is durable.
+    commit_first: bool,
+    /// What stands in the record counts as had.
+    count_intents: bool,
+}
+
+const ALL: Guards = Guards { epoch: true, record: true, commit_first: true, count_intents: true };
+
+/// A write on its way.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Write {
+    node: usize,
+    life: u64,
+    epoch: Version,
+    record: Version,
+    book: RentBook,
+    calls: Vec<Intent>,
+}
+
+#[derive(Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Node {
+    life: u64,
+    duty: Option<(usize, Version)>,
+    book: (Version, RentBook),
+    desk: Desk,
+    named: u32,
+    writing: bool,
+    /// Machines that it has been told of.
+    machines: u32,
+}
+
+#[derive(Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct State {
+    nodes: [Node; NODES],
+    duty: Option<(usize, Version)>,
+    book: (Version, RentBook),
+    revision: u64,
+    hands: u64,
+    writes: BTreeSet<Write>,
+    calls: BTreeSet<(usize, u64, String)>,
+    /// What the cloud has rented, by name.
+    rented: BTreeMap<String, u32>,
+    /// Names that ever stood in the record.
+    intents: BTreeSet<String>,
+    broken: BTreeSet<&'static str>,
+}
+
+/// One machine is needed; none is in the list yet, for it lags.
+fn step(s: &State, g: Guards) -> Vec<State> {
+    let mut next = Vec::new();
+    if s.duty.is_some() && s.hands < HANDS {
+        // Its holder's lease ends.
+        next.push(State { duty: None, ..s.clone() });
+    }
+    for n in 0..NODES {
+        if s.duty.is_none() && s.hands < HANDS {
+            let mut t = s.clone();
+            t.revision += 1;
+            t.hands += 1;
+            t.duty = Some((n, Version(t.revision)));
+            next.push(t);
+        }
+        let node = &s.nodes[n];
+        if node.duty != s.duty || node.book != s.book {
+            let mut t = s.clone();
+            (t.nodes[n].duty, t.nodes[n].book) = (s.duty, s.book.clone());
+            next.push(t);
+        }
+        if n == 0 && node.life < 1 {
+            // Restarted: all it knew is gone, its writes and calls are still on their way.
+            let mut t = s.clone();
+            t.nodes[n] = Node { life: node.life + 1, ..Node::default() };
+            next.push(t);
+        }
+        let Some((_, epoch)) = node.duty.filter(|d| d.0 == n && !node.writing) else { continue };
+        let mut t = s.clone();
+        let me = &mut t.nodes[n];
+        let coming = me.desk.coming(&me.book.1).count();
+        let has = me.machines > 0 || (g.count_intents && coming > 0);
+        let new: Vec<Intent> = (!has && me.named < NAMES)
+            .then(|| Intent {
+                name: format!("{n}-{}-{}", me.life, me.named),
+                machine_type: TypeId::new("t"),
+                zone: ZoneId::new("z"),
+                spot: false,
+                count: 1,
+                inherited: false,
+            })
+            .into_iter()
+            .collect();
+        me.named += new.len() as u32;
+        let known = me.book.clone();
+        if let Some(step) = me.desk.next(&known.1, epoch, new, (Ms(0), 0), u64::MAX) {
+            me.writing = true;
+            let life = me.life;
+            if !g.commit_first {
+                t.calls.extend(step.calls.iter().map(|i| (n, life, i.name.clone())));
+            }
+            let (book, calls) = (step.book, step.calls);
+            t.writes.insert(Write { node: n, life, epoch, record: known.0, book, calls });
+            next.push(t);
+        }
+    }
+    for write in &s.writes {
+        let mut t = s.clone();
+        t.writes.remove(write);
+        let duty = !g.epoch || s.duty.is_some_and(|d| d.1 == write.epoch);
+        let done = duty && (!g.record || s.book.0 == write.record);
+        if done {
+            t.revision += 1;
+            t.book = (Version(t.revision), write.book.clone());
+            t.intents.extend(write.book.open.iter().map(|i| i.name.clone()));
+            if !s.duty.is_some_and(|d| d.1 == write.epoch) {
+                t.broken.insert("a former holder wrote");
+            }
+        }
+        let same_life = s.nodes[write.node].life == write.life;
+        let mut lost = t.clone();
+        if same_life {
+            let me = &mut t.nodes[write.node];
+            me.writing = false;
+            if done {
+                me.book = t.book.clone();
+                me.desk.called(&write.calls);
+                let names = write.calls.iter().map(|i| i.name.clone());
+                t.calls.extend(names.map(|name| (write.node, write.life, name)));
+            }
+            // Or its answer is lost: the outcome is read.
+            lost.nodes[write.node].writing = false;
+            next.push(lost);
+        }
+        next.push(t);
+    }
+    for call in &s.calls {
+        let mut t = s.clone();
+        t.calls.remove(call);
+        let (n, life, name) = call;
+        if !s.intents.contains(name) {
+            t.broken.insert("the cloud was asked for what was not durable");
+        }
+        t.rented.entry(name.clone()).or_insert(1);
+        if t.rented.values().sum::<u32>() > 1 {
+            t.broken.insert("rented twice for one need");
+        }
+        if s.nodes[*n].life == *life {
+            let me = &mut t.nodes[*n];
+            me.desk.answered(name, Answer::Given, Ms(0));
+            me.machines = 1;
+        }
+        next.push(t);
+    }
+    next
+}
+
+/// What can go wrong in any order, and how many states there are; or only whether `what` can.
+fn explore(g: Guards, what: Option<&str>) -> (BTreeSet<&'static str>, usize) {
+    let mut seen = BTreeSet::from([State::default()]);
+    let mut queue = VecDeque::from([State::default()]);
+    let mut broken = BTreeSet::new();
+    while let Some(state) = queue.pop_front() {
+        for next in step(&state, g) {
+            broken.extend(next.broken.iter().copied());
+            if what.is_some_and(|w| broken.contains(w)) {
+                return (broken, seen.len());
+            }
+            // A state in which something is broken is looked at no further.
+            if next.broken.is_empty() && seen.insert(next.clone()) {
+                queue.push_back(next);
+            }
+        }
+        assert!(seen.len() < 2_000_000, "too many states");
+    }
+    (broken, seen.len())
+}
+
+#[test]
+fn no_order_of_events_rents_twice_or_asks_for_what_is_not_durable() {
+    let (broken, states) = explore(ALL, None);
+    assert!(broken.is_empty(), "{broken:?}");
+    assert!(states > 1000, "only {states} states");
+}
+
+#[test]
+fn each_guard_is_needed() {
+    for (guards, what) in [
+        (Guards { epoch: false, ..ALL }, "a former holder wrote"),
+        (Guards { commit_first: false, ..ALL }, "the cloud was asked for what was not durable"),
+        (Guards { count_intents: false, ..ALL }, "rented twice for one need"),
+        (Guards { epoch: false, record: false, ..ALL }, "rented twice for one need"),
+    ] {
+        let (broken, _) = explore(guards, Some(what));
+        assert!(broken.contains(what), "not seen without its guard: {what}; {broken:?}");
+    }
+}
