--- a/crates/cleatfold-duties/tests/explored.rs
+++ b/crates/cleatfold-duties/tests/explored.rs
@@ -132,7 +132,7 @@
             t.revision += 1;
             t.book = (Version(t.revision), write.book.clone());
             t.intents.extend(write.book.open.iter().map(|i| i.name.clone()));
-            if !s.duty.is_some_and(|d| d.1 == write.epoch) {
+            if s.duty.is_none_or(|d| d.1 != write.epoch) {
                 t.broken.insert("a former holder wrote");
             }
         }
