What the cloud refused is asked for again after 10 s, then 20 s, as machines come free

Where the cloud is at its capacity, machines that die or are taken come free to be rented; pauses that grew from 20 s to 40 s left them unrented.

--- a/crates/cleatfold-duties/src/rents.rs
+++ b/crates/cleatfold-duties/src/rents.rs
@@ -12,8 +12,8 @@
 
 /// After a refusal by the cloud the same is asked for again only after so long; after a further
 /// one twice as long, up to the most.
-const PAUSE_MS: u64 = 20_000;
-const PAUSE_MOST_MS: u64 = 40_000;
+const PAUSE_MS: u64 = 10_000;
+const PAUSE_MOST_MS: u64 = 20_000;
 /// What is over is taken out of the record with the next rental, or after so long.
 const CLOSE_MS: u64 = 10_000;
 
