Ends of a job gather until they are worth a change; blame for failures shared by all owners

Now: what can wait is decided in cleatfold-ledger, per change; parts are claimed from apart; ripe parts are told.

--- /dev/null
+++ b/crates/cleatfold-control/src/blame.rs
@@ -0,0 +1,162 @@
+//! Failed tasks: what the records and the machines' owners know of them, as `cleatfold_blame` judges.
+
+use crate::jobs::Local;
+use crate::mirror::Live;
+use crate::node::Node;
+use cleatfold_blame::{pause_ms, standing, Failure, Standing, Word};
+use cleatfold_plan::Request;
+use cleatfold_wire::job::{JobState, Kind};
+use cleatfold_wire::*;
+use std::collections::BTreeSet;
+
+impl Node {
+    /// The job's failed starts: those in its record, which every controller reads, and those that
+    /// are on their way there.
+    fn failures(&self, id: &JobId, local: Option<&Local>) -> Vec<Failure> {
+        let mut failures = Vec::new();
+        if self.mirror.lossy.contains(id) {
+            self.mirror.tables(id).for_each(|t| failures.extend(t.losses.failures()));
+        }
+        for end in local.iter().flat_map(|l| &l.ends).filter(|e| e.why == "error") {
+            let at_ms = local.map_or(0, |l| l.failed_ms);
+            let (machine, task, attempt) = (end.machine.clone(), end.ix, end.attempt);
+            failures.push(Failure { machine, task, attempt, at_ms });
+        }
+        failures
+    }
+
+    /// What is to be thought of a job, if anything of it has failed.
+    fn standing(&self, id: &JobId, live: &Live, local: Option<&Local>) -> Option<Standing> {
+        let failures = self.failures(id, local);
+        if failures.is_empty() {
+            return None;
+        }
+        let done = live.done + local.map_or(0, |l| l.ends.iter().filter(|e| e.done).count() as u32);
+        let faulty = |id: &MachineId| self.fleet.machines.get(id).is_some_and(|m| m.faulty);
+        Some(standing(&failures, done, faulty, self.wall_ms))
+    }
+
+    /// How many of `tasks` that wait may be planned and rented for now. What pauses waits for its
+    /// turn or its user: it holds no place, nothing is rented for it, and no idle machine kept.
+    pub(crate) fn may_start(&self, id: &JobId, live: &Live, tasks: u32) -> u32 {
+        let local = self.locals.get(id);
+        let Some(standing) = self.standing(id, live, local) else { return tasks };
+        let may = standing.may_start(tasks, live.claimed, self.wall_ms);
+        match live.record.spec.kind {
+            // Whole or not at all.
+            Kind::Gang
+                if may > 0
+                    && !matches!(&standing, Standing::Sound { pausing } if !pausing.is_empty()) =>
+            {
+                tasks
+            }
+            Kind::Gang => 0,
+            _ => may,
+        }
+    }
+
+    /// The tasks that must not be claimed now, and how many may be of the others.
+    pub(crate) fn claimable(&self, id: &JobId, live: &Live) -> (BTreeSet<TaskIx>, u32) {
+        let most = self.may_start(id, live, live.record.spec.tasks);
+        match self.standing(id, live, self.locals.get(id)) {
+            Some(Standing::Sound { pausing }) => (pausing, most),
+            _ => (BTreeSet::new(), most),
+        }
+    }
+
+    /// It fails wherever it runs, and its record says so.
+    pub(crate) fn is_suspect(&self, id: &JobId, live: &Live) -> bool {
+        self.mirror.lossy.contains(id)
+            && matches!(self.standing(id, live, None), Some(Standing::Suspect { .. }))
+    }
+
+    /// Machines of a plan that a job should not be tried on again: those that it failed on, unless
+    /// that is all of them.
+    pub(crate) fn avoided(&self, id: &JobId, machines: &[MachineId], request: &mut Request) {
+        let failures = self.failures(id, self.locals.get(id));
+        if failures.is_empty() {
+            return;
+        }
+        let failed = |m: &MachineId| failures.iter().any(|f| f.machine == *m);
+        request.avoid = (0..machines.len()).filter(|&i| failed(&machines[i])).collect();
+        if request.avoid.len() == machines.len() {
+            request.avoid.clear();
+        }
+    }
+
+    /// Why tasks of a job failed, since when, and what comes of it.
+    pub(crate) fn why(&self, id: &JobId, live: &Live) -> Option<String> {
+        let local = self.locals.get(id);
+        let mut failures = self.failures(id, local);
+        failures.sort_by_key(|f| f.at_ms);
+        let (first, last) = (failures.first()?, failures.last()?);
+        let machines: BTreeSet<&MachineId> = failures.iter().map(|f| &f.machine).collect();
+        let since = self.wall_ms.saturating_sub(first.at_ms) / 1000;
+        let mut why = format!(
+            "task {} failed on {}; {} failed starts on {} machines since {since} s ago",
+            last.task,
+            last.machine,
+            failures.len(),
+            machines.len()
+        );
+        if let Some(Standing::Suspect { until_ms }) = self.standing(id, live, local) {
+            let next = until_ms.saturating_sub(self.wall_ms) / 1000;
+            why += &format!("; it fails wherever it runs, next try in {next} s");
+        }
+        Some(why)
+    }
+
+    /// A task has failed on one of our machines.
+    pub(crate) fn note_failed(&mut self, machine: &MachineId, task: &TaskId, attempt: Attempt) {
+        let wall_ms = self.wall_ms;
+        self.local(&task.job).failed_ms = wall_ms;
+        let pause_s = pause_ms(attempt) / 1000;
+        tracing::info!(job = %task.job, task = task.ix.0, attempt = attempt.0, %machine, pause_s, "task failed");
+        if let Some(machine) = self.fleet.machines.get_mut(machine) {
+            machine.suspicion.failed(task.job.clone(), task.ix);
+        }
+    }
+
+    /// Returns machines that are at fault, by what is known of the jobs by now.
+    pub(crate) fn judge_machines(&mut self) {
+        let mut suspects = Vec::new();
+        for (id, m) in &mut self.fleet.machines {
+            if !m.suspicion.is_empty() && !m.faulty && self.owned_since.contains_key(&m.pool) {
+                suspects.push((id.clone(), std::mem::take(&mut m.suspicion)));
+            }
+        }
+        for (id, mut suspicion) in suspects {
+            let faulty = suspicion.is_faulty(|job, task| self.word(&id, job, task));
+            let Some(m) = self.fleet.machines.get_mut(&id) else { continue };
+            m.suspicion = suspicion;
+            if faulty {
+                tracing::info!(machine = %id, "what works elsewhere fails here: returning it");
+                (m.faulty, m.draining) = (true, true);
+                self.dirty = true;
+            }
+        }
+    }
+
+    fn word(&self, machine: &MachineId, job: &JobId, task: TaskIx) -> Word {
+        let Some(live) = self.mirror.jobs.get(job) else {
+            let done = |s: cleatfold_wire::job::JobStatus| s.state == JobState::Done;
+            let done = self.terminal.get(job).is_some_and(done);
+            return if done { Word::WorksElsewhere } else { Word::NoEvidence };
+        };
+        let local = self.locals.get(job);
+        let elsewhere =
+            |f: &Failure| f.task == task && f.machine != *machine && !self.is_faulty(&f.machine);
+        if self.failures(job, local).iter().any(elsewhere) {
+            return Word::NoEvidence;
+        }
+        let ends = local.iter().flat_map(|l| &l.ends);
+        if live.done > 0 || ends.into_iter().any(|e| e.done) {
+            return Word::WorksElsewhere;
+        }
+        Word::Open
+    }
+
+    fn is_faulty(&self, machine: &MachineId) -> bool {
+        self.fleet.machines.get(machine).is_some_and(|m| m.faulty)
+    }
+}
--- a/crates/cleatfold-control/src/fleet.rs
+++ b/crates/cleatfold-control/src/fleet.rs
@@ -43,8 +43,9 @@
     /// When tasks were first seen running.
     pub started: BTreeMap<(JobId, TaskIx), Ms>,
     /// Jobs that failed here.
-    pub failed_jobs: BTreeSet<JobId>,
-    pub failed_at: Ms,
+    pub suspicion: cleatfold_blame::Suspicion,
+    /// What works elsewhere fails here.
+    pub faulty: bool,
     /// Being emptied to be returned.
     pub draining: bool,
     pub deleting: bool,
@@ -70,8 +71,8 @@
             images: VecDeque::new(),
             images_changed: false,
             started: BTreeMap::new(),
-            failed_jobs: BTreeSet::new(),
-            failed_at: Ms(0),
+            suspicion: Default::default(),
+            faulty: false,
             draining: false,
             deleting: false,
             idle_since: None,
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -7,9 +7,10 @@
 use crate::effects::*;
 use crate::node::{Node, Pending};
 use crate::records::*;
-use crate::steps::{can_gather, judge, Asked, Judged};
+use crate::steps::{judge, Asked, Judged};
 use cleatfold_elastic::Verdict;
-use cleatfold_wire::job::{JobState, Kind, Urgency};
+use cleatfold_ledger::{claim_order, Selection};
+use cleatfold_wire::job::{JobState, Kind};
 use cleatfold_wire::losses::LossCause;
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
@@ -69,11 +70,11 @@
     pub wishes: Vec<Wish>,
     pub abort: bool,
     pub withdrawals: Vec<u64>,
-    pub failures: u32,
     pub hold_until: Ms,
     /// Pools that the leader sent it to.
     pub pools: Vec<PoolId>,
-    pub last_why: Option<String>,
+    /// Time of day at which a task of it last failed here.
+    pub failed_ms: u64,
     /// Progress that is saved, per task, in milliseconds of run time.
     pub saved: BTreeMap<TaskIx, u64>,
     /// Members' reports that wait to be recorded.
@@ -92,7 +93,7 @@
     }
 
     /// Something waits to be recorded.
-    fn has_news(&self) -> bool {
+    pub(crate) fn has_news(&self) -> bool {
         self.abort
             || self.over
             || !(self.ends.is_empty() && self.wishes.is_empty() && self.asked.is_empty())
@@ -119,53 +120,7 @@
     Ended(ArchiveRecord),
 }
 
-/// Ends leave the last changes to starts, but not for ever.
-const ENDS_WAIT_MS: u64 = 30_000;
-
-fn done_ends(local: &Local) -> u32 {
-    local.ends.iter().filter(|e| e.done).count() as u32
-}
-
-/// Nothing but completed tasks of a job that goes on: nobody waits for them to be recorded. The
-/// end of a lost task is another matter, for it can start again only after that. (Counted as one
-/// end among many, it waited a minute to be recorded when changes ran short.)
-fn can_wait(local: &Local, live: &crate::mirror::Live, now: Ms) -> bool {
-    let done = done_ends(local);
-    !local.abort
-        && !local.over
-        && can_gather(local, now)
-        && local.wishes.is_empty()
-        && done as usize == local.ends.len()
-        && live.done + done < live.record.spec.tasks
-}
-
-/// What recording the news of a job now is worth, in task-milliseconds of waiting.
-fn weight(local: &Local, live: Option<&crate::mirror::Live>, waited: u64) -> u64 {
-    let Some(live) = live.filter(|_| !local.abort) else {
-        return u64::MAX;
-    };
-    let done = done_ends(local);
-    let lost = local.ends.len() as u64 - u64::from(done);
-    let starts: u32 = local.wishes.iter().map(|w| w.tasks).sum();
-    // A completed task holds nothing up: its room is planned with already. It can wait for
-    // others of its job; a start cannot, nor can what must be started again.
-    let idle = local.asked.iter().filter(|a| a.idle).count() as u64;
-    let mut n = u64::from(done) + 4 * u64::from(starts) + 8 * lost + 4 * idle;
-    n += (local.asked.len() as u64).max(u64::from(local.over));
-    if live.done + done >= live.record.spec.tasks {
-        // Its user waits for just this.
-        n *= 4;
-    }
-    let urgency = match live.record.spec.urgency {
-        Urgency::Critical => 4,
-        Urgency::High => 3,
-        Urgency::Normal => 2,
-        Urgency::BestEffort => 1,
-    };
-    n * urgency * (300 + waited)
-}
-
-fn part_of(record: &JobRecord, ix: TaskIx) -> Option<u32> {
+pub(crate) fn part_of(record: &JobRecord, ix: TaskIx) -> Option<u32> {
     record.in_parts().then_some(ix.0 / PART)
 }
 
@@ -216,80 +171,12 @@
         }
     }
 
-    /// Sends what is due, as far as our part of the state service's changes goes: what weighs
-    /// most goes first, the rest gathers until its turn.
-    pub(crate) fn flush(&mut self) {
-        let nodes = if self.in_contact() { self.mirror.nodes.len() } else { 0 };
-        let nodes = if nodes == 0 { self.cfg.peers.len() + 1 } else { nodes };
-        self.pace.fill(self.now, self.cfg.changes_per_s, nodes);
-        while self.pace.open() {
-            let due = if self.loaded { self.weightiest() } else { None };
-            // Submissions first, but a flood of them leaves the jobs every other change.
-            if self.ahead == 0 || due.is_none() {
-                let sent = self.flush_submissions();
-                if sent > 0 {
-                    // Only what went ahead of a job that waited is owed to the jobs. (Counted
-                    // while none waited, a busy hour's submissions would have held up later ones.)
-                    self.ahead += if due.is_some() { sent } else { 0 };
-                    continue;
-                }
-            }
-            let Some(job) = due else { return };
-            self.ahead = self.ahead.saturating_sub(1);
-            self.send_job_tx(job);
-        }
-    }
-
-    /// The job whose change is worth most now: how many starts and ends it would record, how
-    /// long they have waited and how urgent they are. Long waits win in the end, so nothing
-    /// starves.
-    fn weightiest(&mut self) -> Option<JobId> {
-        let (locals, mirror, now) = (&mut self.locals, &self.mirror, self.now);
-        let ample = self.pace.ample();
-        let mut best: Option<((bool, u64), &JobId)> = None;
-        self.unsent.retain(|id| locals.get(id).is_some_and(|l| l.busy || l.has_news()));
-        for id in &self.unsent {
-            let Some(local) = locals.get_mut(id) else { continue };
-            if local.busy || local.stale_since.is_some() || local.not_before > now {
-                continue;
-            }
-            let since = *local.unsent_since.get_or_insert(now);
-            let live = mirror.jobs.get(id);
-            let pressing =
-                now.since(since) >= ENDS_WAIT_MS || !live.is_some_and(|l| can_wait(local, l, now));
-            // Steps gather even while changes are plenty: nobody waits for these.
-            let only_steps = !local.asked.is_empty() && local.ends.is_empty();
-            if !pressing && (!ample || only_steps) {
-                continue;
-            }
-            let weight = (pressing, weight(local, live, now.since(since)));
-            if best.is_none_or(|b| weight > b.0) {
-                best = Some((weight, id));
-            }
-        }
-        best.map(|b| b.1.clone())
-    }
-
-    /// Something of the job waits to be recorded.
-    pub(crate) fn note_unsent(&mut self, job: &JobId) {
-        self.flush_due = true;
-        if !self.unsent.contains(job) {
-            self.unsent.insert(job.clone());
-        }
-    }
-
-    fn send_job_tx(&mut self, job: JobId) {
-        let Some(tx) = self.build(&job) else { return };
-        let Some(local) = self.locals.get_mut(&job) else {
-            return;
+    pub(crate) fn build(&mut self, job: &JobId, selection: Option<Selection>) -> Option<JobTx> {
+        let (rank, of) = self.rank();
+        let (pausing, mut most) = match self.mirror.jobs.get(job) {
+            Some(live) => self.claimable(job, live),
+            None => Default::default(),
         };
-        local.busy = true;
-        local.unsent_since = None;
-        let txn = tx.txn.clone();
-        self.store(Lane::Claim, StoreRequest::Txn(txn), Pending::Job(Box::new(tx)));
-    }
-
-    fn build(&mut self, job: &JobId) -> Option<JobTx> {
         let local = self.locals.get_mut(job)?;
         let wishes = std::mem::take(&mut local.wishes);
         let Some(live) = self.mirror.jobs.get(job) else {
@@ -306,7 +193,7 @@
         let mut head_changed = false;
         let (mut done, mut claimed) = (live.done, live.claimed);
         // Each touched part is one change; the head, the archive and a part's end need some.
-        let room = self.cfg.txn_ops.saturating_sub(4).max(1);
+        let room = self.cfg.txn_ops.saturating_sub(4).max(1).min(self.pace.affords());
 
         fn table_of<'a>(
             record: &'a mut JobRecord,
@@ -324,6 +211,8 @@
 
         let mut ended = Vec::new();
         let mut void = Vec::new();
+        // Ends of parts that are written anyway are told with the claims, further down.
+        let mut later = Vec::new();
         for end in &local.ends {
             if let Some((pool, token)) = &end.fence {
                 if self.owned_since.get(pool).map(|o| o.0) != Some(*token) {
@@ -332,8 +221,12 @@
                 }
             }
             let part = part_of(&record, end.ix);
-            if part.is_some_and(|p| !touched.contains_key(&p)) && touched.len() >= room {
-                continue;
+            if let Some(part) = part.filter(|p| !touched.contains_key(p)) {
+                let chosen = selection.as_ref().is_none_or(|s| s.contains(part));
+                if !chosen || touched.len() >= room {
+                    later.push(end.clone());
+                    continue;
+                }
             }
             let table = table_of(&mut record, &mut touched, parts, part);
             if table.end(&end.machine, end.ix, end.attempt, end.done) {
@@ -401,7 +294,7 @@
                         head_changed = true;
                     }
                 }
-                let mut want = wish.tasks;
+                let mut want = wish.tasks.min(most);
                 if record.spec.spread {
                     let here = by_zone.entry(zone.clone()).or_default();
                     want = want.min(half.saturating_sub(*here));
@@ -410,7 +303,7 @@
                 let pool = wish.pool.clone();
                 let mut made = Vec::new();
                 if record.in_parts() {
-                    for part in 0..record.part_count() {
+                    for part in claim_order(record.part_count(), rank, of) {
                         if made.len() as u32 >= want {
                             break;
                         }
@@ -424,8 +317,10 @@
                         let current = touched.get(&part).or(known);
                         let free = match current {
                             Some(t) => t.free(from, to),
-                            None => (from..to).map(TaskIx).collect(),
+                            None => (from..to).map(TaskIx).collect::<Vec<_>>(),
                         };
+                        let free: Vec<TaskIx> =
+                            free.into_iter().filter(|ix| !pausing.contains(ix)).collect();
                         if free.is_empty() {
                             continue;
                         }
@@ -438,12 +333,14 @@
                     head_changed |= record.spec.spread;
                 } else {
                     let table = &mut record.table;
-                    for ix in table.free(0, tasks).into_iter().take(want as usize) {
+                    let free = table.free(0, tasks).into_iter().filter(|ix| !pausing.contains(ix));
+                    for ix in free.take(want as usize) {
                         made.push((ix, table.claim(&wish.machine, wish.token, &pool, ix)));
                     }
                     head_changed |= !made.is_empty();
                 }
                 if !made.is_empty() {
+                    most = most.saturating_sub(made.len() as u32);
                     claimed += made.len() as u32;
                     guard_pool(&mut txn, &wish.pool, wish.token);
                     claims.push((wish, made));
@@ -459,6 +356,17 @@
                 head_changed = before.3;
             }
         }
+        for end in later.into_iter().filter(|e| e.done) {
+            let part = end.ix.0 / PART;
+            let Some(table) = touched.get_mut(&part) else { continue };
+            if table.end(&end.machine, end.ix, end.attempt, true) {
+                claimed -= 1;
+                done += 1;
+                ended.push(end);
+            } else {
+                local.ends.retain(|e| *e != end);
+            }
+        }
         if local.abort && !record.aborted && done < record.spec.tasks {
             record.aborted = true;
             head_changed = true;
@@ -699,68 +607,3 @@
         self.claims.iter().any(|(wish, _)| wish.machine == *machine)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::mirror::Live;
-    use cleatfold_wire::job::JobSpec;
-
-    fn live(tasks: u32) -> Live {
-        let spec = JobSpec {
-            id: JobId::new("run-000001"),
-            class: ClassId::new("class"),
-            team: TeamId::new("team"),
-            kind: Kind::Array,
-            urgency: Urgency::Normal,
-            tasks,
-            cpus: 1.0,
-            gpus: 0.0,
-            memory_gb: 1.0,
-            image: ImageId::new("image"),
-            image_gb: 1.0,
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: true,
-            estimate_s: 10.0,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
-            elastic: None,
-        };
-        let record = JobRecord::new(spec, 0);
-        let each = record.each();
-        let (steps_left, beyond) = (None, TaskIx(u32::MAX));
-        Live { record, version: Version(1), each, done: 0, claimed: tasks, steps_left, beyond }
-    }
-
-    fn ends(done: u32, lost: u32) -> Local {
-        let machine = MachineId::new("vm-000001");
-        let end = |ix, done| End {
-            machine: machine.clone(),
-            ix: TaskIx(ix),
-            attempt: Attempt(1),
-            done,
-            why: "",
-            fence: None,
-        };
-        let ends = (0..done + lost).map(|i| end(i, i < done)).collect();
-        Local { ends, ..Local::default() }
-    }
-
-    /// The end of a lost task once waited a minute behind gathered completed ones, and with it
-    /// the task's next start.
-    #[test]
-    fn a_lost_task_does_not_wait_behind_completed_ones() {
-        let job = live(40);
-        assert!(can_wait(&ends(7, 0), &job, Ms(0)));
-        assert!(!can_wait(&ends(7, 1), &job, Ms(0)));
-        assert!(!can_wait(&ends(40, 0), &job, Ms(0)), "the last one makes the job done");
-        let lost = weight(&ends(0, 1), Some(&job), 0);
-        assert!(lost > weight(&ends(7, 0), Some(&job), 0));
-        // But nothing starves: what has waited long goes before what is new.
-        assert!(weight(&ends(1, 0), Some(&job), 6000) > lost);
-    }
-}
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -418,6 +418,7 @@
         }
         self.watched = self.now;
         self.adopt_claimed_machines();
+        self.judge_machines();
         let now = self.now;
         let silent_limit = self.cfg.given_up_ms();
         let quiet_limit = self.silent_ms();
@@ -433,10 +434,10 @@
         for (pool, &(token, since)) in &self.owned_since {
             let useful = |spot: bool| {
                 let mut teams: BTreeMap<&TeamId, f64> = BTreeMap::new();
-                for j in self.mirror.jobs.values() {
+                for (id, j) in &self.mirror.jobs {
                     let spec = &j.record.spec;
                     let waits = !j.record.aborted && j.unclaimed() > 0 && (!spot || spec.spot);
-                    if !waits || !self.may_use(j, pool) {
+                    if !waits || !self.may_use(j, pool) || self.may_start(id, j, 1) == 0 {
                         continue;
                     }
                     // What waits for its team's limit alone keeps no idle machine. (Hundreds
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -5,7 +5,8 @@
 
 mod admission;
 mod archive;
-pub mod config;
+pub mod blame;
+mod config;
 mod duties;
 pub mod effects;
 mod fleet;
@@ -14,6 +15,7 @@
 mod limits;
 mod losses;
 mod mirror;
+mod news;
 mod node;
 mod pace;
 mod queue;
--- a/crates/cleatfold-control/src/mirror.rs
+++ b/crates/cleatfold-control/src/mirror.rs
@@ -27,6 +27,8 @@
     pub steps_left: Option<u32>,
     /// Of an elastic job: members from this one on are beyond its least width.
     pub beyond: TaskIx,
+    /// How many of its claims stand in each pool.
+    pub by_pool: Vec<(PoolId, u32)>,
 }
 
 impl Live {
@@ -297,6 +299,7 @@
             claimed: 0,
             steps_left: None,
             beyond: TaskIx(u32::MAX),
+            by_pool: Vec::new(),
         };
         self.jobs.insert(id.clone(), live);
         self.recount(&id);
@@ -342,15 +345,23 @@
         let Some(live) = self.jobs.get_mut(id) else {
             return;
         };
-        let (mut done, mut claimed) =
-            (live.record.table.done_count(), live.record.table.claim_count());
+        let (mut done, mut claimed) = (0, 0);
         for part in &live.record.parts_done {
             let (from, to) = live.record.part_range(*part);
             done += to - from;
         }
-        for (_, table) in self.parts.get(id).into_iter().flat_map(|p| p.values()) {
+        live.by_pool.clear();
+        let parts = self.parts.get(id).into_iter().flat_map(|p| p.values().map(|p| &p.1));
+        for table in std::iter::once(&live.record.table).chain(parts) {
             done += table.done_count();
-            claimed += table.claim_count();
+            for group in &table.claims {
+                let tasks = group.tasks.len() as u32;
+                claimed += tasks;
+                match live.by_pool.iter_mut().find(|(pool, _)| *pool == group.pool) {
+                    Some((_, known)) => *known += tasks,
+                    None => live.by_pool.push((group.pool.clone(), tasks)),
+                }
+            }
         }
         (live.done, live.claimed) = (done, claimed);
         let Some(elastic) = &live.record.spec.elastic else { return };
--- /dev/null
+++ b/crates/cleatfold-control/src/news.rs
@@ -0,0 +1,193 @@
+//! Which job's news is recorded next.
+
+use crate::effects::*;
+use crate::jobs::{part_of, Local};
+use crate::mirror::Live;
+use crate::node::{Node, Pending};
+use cleatfold_ledger::{News, PartNews, Selection};
+use cleatfold_wire::job::Urgency;
+use cleatfold_wire::*;
+use std::collections::BTreeMap;
+
+/// Completed tasks of a job that goes on are kept back for as long as one of them takes, within
+/// these bounds. Their workers keep them; what a controller's death costs is reading them again.
+const LEAST_WAIT_MS: u64 = 30_000;
+const MOST_WAIT_MS: u64 = 90_000;
+
+impl Node {
+    /// Sends what is due, as far as our part of the state service's changes goes: what weighs
+    /// most goes first, the rest gathers until its turn.
+    pub(crate) fn flush(&mut self) {
+        let nodes = if self.in_contact() { self.mirror.nodes.len() } else { 0 };
+        let nodes = if nodes == 0 { self.cfg.peers.len() + 1 } else { nodes };
+        self.pace.fill(self.now, self.cfg.changes_per_s, nodes);
+        while self.pace.open() {
+            let due = if self.loaded { self.weightiest() } else { None };
+            // Submissions first, but a flood of them leaves the jobs every other change.
+            if self.ahead == 0 || due.is_none() {
+                let sent = self.flush_submissions();
+                if sent > 0 {
+                    // Only what went ahead of a job that waited is owed to the jobs. (Counted
+                    // while none waited, a busy hour's submissions would have held up later ones.)
+                    self.ahead += if due.is_some() { sent } else { 0 };
+                    continue;
+                }
+            }
+            let Some(job) = due else { return };
+            self.ahead = self.ahead.saturating_sub(1);
+            self.send_job_tx(job);
+        }
+    }
+
+    /// The job whose change is worth most now: how many starts and ends it would record, how
+    /// long they have waited and how urgent they are. Long waits win in the end, so nothing
+    /// starves.
+    fn weightiest(&mut self) -> Option<JobId> {
+        let now = self.now;
+        let ample = self.pace.ample();
+        let mut best: Option<((bool, u64), JobId)> = None;
+        let mut unsent = std::mem::take(&mut self.unsent);
+        unsent.retain(|id| self.locals.get(id).is_some_and(|l| l.busy || l.has_news()));
+        for id in &unsent {
+            let Some(local) = self.locals.get_mut(id) else { continue };
+            if local.busy || local.stale_since.is_some() || local.not_before > now {
+                continue;
+            }
+            let waited = now.since(*local.unsent_since.get_or_insert(now));
+            let local = &self.locals[id];
+            // Gone meanwhile, or to be cancelled: at once.
+            let news = match self.mirror.jobs.get(id) {
+                Some(live) => self.news(id, local, live),
+                None => News { abort: true, ..News::default() },
+            };
+            let pressing = news.presses(waited);
+            // Steps gather even while changes are plenty: nobody waits for these.
+            let only_steps = news.asked > 0 && local.ends.is_empty();
+            if !pressing && (!ample || only_steps) {
+                continue;
+            }
+            let weight = (pressing, news.weight(waited));
+            if best.as_ref().is_none_or(|b| weight > b.0) {
+                best = Some((weight, id.clone()));
+            }
+        }
+        self.unsent = unsent;
+        best.map(|b| b.1)
+    }
+
+    fn news(&self, id: &JobId, local: &Local, live: &Live) -> News {
+        let spec = &live.record.spec;
+        let done = local.ends.iter().filter(|e| e.done).count() as u32;
+        let starts = local.wishes.iter().map(|w| w.tasks).sum();
+        let mine: u32 = live
+            .by_pool
+            .iter()
+            .filter(|(p, _)| self.owned_since.contains_key(p))
+            .map(|p| p.1)
+            .sum();
+        let finishes = live.done + done >= spec.tasks;
+        let changes = match live.record.in_parts() {
+            true => self.touched(local, live) + u32::from(starts > 0),
+            // The archive's record and the end of its own.
+            false => 1 + u32::from(finishes),
+        };
+        // Nothing of it may start before its pause is over: its failures can gather too.
+        let lost = local.ends.len() as u32 - done;
+        let (done, lost) =
+            if lost > 0 && self.is_suspect(id, live) { (done + lost, 0) } else { (done, lost) };
+        let limited = self.cfg.team(&spec.team).is_some_and(|t| t.is_limited());
+        let most = if limited { LEAST_WAIT_MS } else { MOST_WAIT_MS };
+        News {
+            done,
+            lost,
+            starts,
+            asked: local.asked.len() as u32,
+            idle: local.asked.iter().filter(|a| a.idle).count() as u32,
+            abort: local.abort,
+            over: local.over,
+            finishes,
+            mine_left: mine.saturating_sub(local.ends.len() as u32),
+            unclaimed: live.unclaimed(),
+            changes,
+            urgency: match spec.urgency {
+                Urgency::Critical => 4,
+                Urgency::High => 3,
+                Urgency::Normal => 2,
+                Urgency::BestEffort => 1,
+            },
+            patience_ms: ((spec.estimate_s * 1000.0) as u64).clamp(LEAST_WAIT_MS, most),
+            gathers: crate::steps::can_gather(local, self.now),
+        }
+    }
+
+    fn touched(&self, local: &Local, live: &Live) -> u32 {
+        let mut parts: Vec<u32> =
+            local.ends.iter().filter_map(|e| part_of(&live.record, e.ix)).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        parts.len() as u32
+    }
+
+    /// Of a job in parts, whose ends are worth their changes now.
+    fn select(&self, job: &JobId, local: &Local) -> Option<Selection> {
+        let live = self.mirror.jobs.get(job).filter(|l| l.record.in_parts())?;
+        let mut parts: BTreeMap<u32, PartNews> = BTreeMap::new();
+        for end in &local.ends {
+            let part = parts.entry(end.ix.0 / crate::records::PART).or_default();
+            *if end.done { &mut part.done } else { &mut part.lost } += 1;
+        }
+        let tables = self.mirror.parts.get(job);
+        for (number, news) in &mut parts {
+            let Some((_, table)) = tables.and_then(|t| t.get(number)) else { continue };
+            let claims = |mine: bool| -> u32 {
+                let groups = table.claims.iter();
+                let groups = groups.filter(|g| !mine || self.owned_since.contains_key(&g.pool));
+                groups.map(|g| g.tasks.len() as u32).sum()
+            };
+            let (from, to) = live.record.part_range(*number);
+            news.unclaimed = (to - from).saturating_sub(table.done_count() + claims(false));
+            news.mine_left = claims(true).saturating_sub(news.done + news.lost);
+        }
+        let waited = local.unsent_since.map_or(0, |s| self.now.since(s));
+        let news = self.news(job, local, live);
+        let everything = news.finishes
+            || (news.mine_left == 0 && news.unclaimed == 0)
+            || waited >= news.patience_ms
+            || self.pace.ample();
+        Some(Selection::new(&parts, everything, self.pace.affords()))
+    }
+
+    /// Our place among the live controllers, and how many there are.
+    pub(crate) fn rank(&self) -> (usize, usize) {
+        let nodes = &self.mirror.nodes;
+        let rank = nodes.keys().position(|n| *n == self.cfg.me).unwrap_or(0);
+        (rank, nodes.len())
+    }
+
+    /// Something of the job waits to be recorded.
+    pub(crate) fn note_unsent(&mut self, job: &JobId) {
+        self.flush_due = true;
+        if !self.unsent.contains(job) {
+            self.unsent.insert(job.clone());
+        }
+    }
+
+    fn send_job_tx(&mut self, job: JobId) {
+        let selection = self.locals.get(&job).and_then(|l| self.select(&job, l));
+        let Some(tx) = self.build(&job, selection) else {
+            // Nothing of it can be said now; looked at again at once it would keep us here.
+            let again = self.now.plus(100);
+            if let Some(local) = self.locals.get_mut(&job).filter(|l| l.has_news()) {
+                local.not_before = local.not_before.max(again);
+            }
+            return;
+        };
+        let Some(local) = self.locals.get_mut(&job) else {
+            return;
+        };
+        local.busy = true;
+        local.unsent_since = None;
+        let txn = tx.txn.clone();
+        self.store(Lane::Claim, StoreRequest::Txn(txn), Pending::Job(Box::new(tx)));
+    }
+}
--- a/crates/cleatfold-control/src/pace.rs
+++ b/crates/cleatfold-control/src/pace.rs
@@ -47,6 +47,11 @@
         self.level >= (self.rate / 2.0).max(1.0)
     }
 
+    /// So many records at most in one transaction: what overdraws keeps everybody else waiting.
+    pub fn affords(&self) -> usize {
+        (self.level.max(0.0) as usize).max(2)
+    }
+
     pub fn spend(&mut self, changes: usize) {
         self.level -= changes as f64;
     }
--- a/crates/cleatfold-control/src/queue.rs
+++ b/crates/cleatfold-control/src/queue.rs
@@ -50,7 +50,8 @@
                 class.has += live.each.times(live.claimed).cpus;
                 class.floors.insert(&spec.team, entry.floor);
             }
-            if live.unclaimed() > 0 {
+            let waiting = self.may_start(id, live, live.unclaimed());
+            if waiting > 0 {
                 // A job that may shrink to nothing gives way to all of its urgency, or it would
                 // take the very place that it has just given to somebody else.
                 let gives_way = live.width().is_some_and(|w| w.least == 0);
@@ -79,9 +80,9 @@
                     arrival,
                     id: id.clone(),
                 };
-                places.push((place, live.unclaimed(), false));
+                places.push((place, waiting, false));
             }
-            let growth = self.growth(id, live);
+            let growth = self.may_start(id, live, self.growth(id, live));
             if growth > 0 {
                 // Behind everything of its urgency: it takes only what nobody has reserved.
                 let place = Place {
--- a/crates/cleatfold-control/src/records.rs
+++ b/crates/cleatfold-control/src/records.rs
@@ -175,10 +175,6 @@
         self.done.iter().map(|r| r.1 - r.0).sum()
     }
 
-    pub fn claim_count(&self) -> u32 {
-        self.claims.iter().map(|g| g.tasks.len() as u32).sum()
-    }
-
     fn mark_done(&mut self, ix: TaskIx) {
         let n = ix.0;
         let i = self.done.partition_point(|r| r.1 < n);
--- a/crates/cleatfold-control/src/records/losses.rs
+++ b/crates/cleatfold-control/src/records/losses.rs
@@ -1,6 +1,7 @@
 //! Losses as the records hold them.
 
 use crate::config::Config;
+use cleatfold_blame::Failure;
 use cleatfold_wire::losses::{JobLosses, Loss, LossCause};
 use cleatfold_wire::*;
 use serde::{Deserialize, Serialize};
@@ -107,6 +108,19 @@
         })
     }
 
+    /// The kept starts whose task failed, in no order that matters.
+    pub fn failures(&self) -> impl Iterator<Item = Failure> + '_ {
+        let failed = self.groups.iter().filter(|g| g.cause == LossCause::Failed);
+        failed.flat_map(|g| {
+            g.tasks.iter().map(|(task, attempt)| Failure {
+                machine: g.machine.clone(),
+                task: *task,
+                attempt: *attempt,
+                at_ms: g.at_ms,
+            })
+        })
+    }
+
     /// As part of a job's answer.
     pub fn answer(&self, job: &JobId, again: bool) -> Option<JobLosses> {
         (!self.is_empty()).then(|| {
--- a/crates/cleatfold-control/src/requests.rs
+++ b/crates/cleatfold-control/src/requests.rs
@@ -170,7 +170,7 @@
             status.done = finished;
             status.steps = Some(StepCount { finished, total: elastic.steps });
         }
-        status.why = self.locals.get(job).and_then(|l| l.last_why.clone());
+        status.why = self.why(job, live);
         if self.mirror.lossy.contains(job) {
             let mut losses = LossList::default();
             self.mirror.tables(job).for_each(|t| losses.take(t.losses.clone()));
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -266,13 +266,6 @@
 
     fn requests_for(&self, plan: &mut PoolPlan, queue: &[Queued], limited: &[TeamId]) {
         let pool = &plan.pool;
-        let failed: Vec<(usize, &Machine)> = plan
-            .machines
-            .iter()
-            .enumerate()
-            .filter_map(|(i, id)| Some((i, self.fleet.machines.get(id)?)))
-            .filter(|(_, m)| !m.failed_jobs.is_empty() && self.now.since(m.failed_at) < 60_000)
-            .collect();
         for Queued { job: id, tasks: unclaimed, growth } in queue {
             let Some(live) = self.mirror.jobs.get(id) else {
                 continue;
@@ -299,11 +292,7 @@
             if tasks == 0 || (spec.kind == Kind::Gang && live.claimed > 0) {
                 continue;
             }
-            let avoid =
-                failed.iter().filter(|(_, m)| m.failed_jobs.contains(id)).map(|f| f.0).collect();
-            plan.jobs.push(id.clone());
-            plan.growth.push(*growth);
-            plan.requests.push(Request {
+            let mut request = Request {
                 each: live.each,
                 tasks,
                 // A member beyond the base may leave at the end of any step.
@@ -313,8 +302,12 @@
                 spot: spec.spot,
                 gang: spec.kind == Kind::Gang,
                 limit: limited.iter().position(|t| *t == spec.team),
-                avoid,
-            });
+                avoid: Vec::new(),
+            };
+            self.avoided(id, &plan.machines, &mut request);
+            plan.jobs.push(id.clone());
+            plan.growth.push(*growth);
+            plan.requests.push(request);
         }
     }
 
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -482,26 +482,14 @@
         }
         match exit {
             Exit::Error => {
-                local.failures += 1;
-                let pause = 1000u64 << local.failures.min(6);
-                local.hold_until = now.plus(pause);
-                local.last_why = Some(format!("task {} failed on {id}", task.ix));
-                tracing::info!(job = %task.job, task = task.ix.0, attempt = attempt.0, machine = %id, "task failed");
-                if let Some(machine) = self.fleet.machines.get_mut(id) {
-                    machine.failed_jobs.insert(task.job.clone());
-                    machine.failed_at = now;
-                    if machine.failed_jobs.len() >= 3 && !machine.draining {
-                        tracing::info!(machine = %id, "several jobs failed here: returning it");
-                        machine.draining = true;
-                    }
-                }
+                self.note_failed(id, task, attempt);
             }
             Exit::Unknown => {
                 self.local(&task.job).hold_until = now.plus(2000);
             }
             Exit::Done => {
                 if let Some(machine) = self.fleet.machines.get_mut(id) {
-                    machine.failed_jobs.clear();
+                    machine.suspicion.completed();
                 }
             }
             _ => {}
--- /dev/null
+++ b/crates/cleatfold-ledger/src/lib.rs
@@ -0,0 +1,10 @@
+//! What of the jobs' news is recorded, and when: changes to the state service are what runs
+//! short first. Decisions only; no rule rests on any of them, since whatever is recorded later is
+//! still with the workers, who keep an exited task in their reports until they are told to
+//! forget it.
+
+mod news;
+mod parts;
+
+pub use news::News;
+pub use parts::{claim_order, PartNews, Selection};
