--- a/crates/cleatfold-admission/src/decide.rs
+++ b/crates/cleatfold-admission/src/decide.rs
@@ -3,6 +3,7 @@
 use crate::allot::{Allotment, Entry, Group};
 use crate::fill::{fill, Need};
 use cleatfold_wire::job::Urgency;
+use cleatfold_wire::TeamId;
 use std::collections::BTreeMap;
 
 /// What one group asks for, in processors and processor-seconds.
@@ -169,19 +170,48 @@
         .collect()
 }
 
-/// How much later a group goes than others of its class, in patiences: by how much its team asks
+/// How much later a group goes than others of its urgency, in patiences: by how much its team asks
 /// for beyond what an even part of half of all would be. Twice as much as the others is luck.
+/// (Looked at class by class, a guest whose classes nobody else has was never found to send
+/// more than its part.)
 fn shift(of: &Demand, pressed: &[(&Demand, f64)]) -> f64 {
-    let class = || pressed.iter().map(|p| p.0).filter(|g| g.group.class == of.group.class);
-    let rates: Vec<f64> = class().map(|g| g.rate).collect();
-    let needs: Vec<Need> = class()
-        .map(|g| Need { amount: g.rate, weight: 1.0 + g.guarantee / (1.0 + of.guarantee) })
+    let mut teams: BTreeMap<&TeamId, (f64, f64)> = BTreeMap::new();
+    for (g, _) in pressed.iter().filter(|(g, _)| g.urgency == of.urgency) {
+        let team = teams.entry(&g.group.team).or_default();
+        (team.0, team.1) = (team.0 + g.rate, g.guarantee);
+    }
+    let rates: Vec<f64> = teams.values().map(|t| t.0).collect();
+    let needs: Vec<Need> = teams
+        .values()
+        .map(|(rate, guarantee)| Need {
+            amount: *rate,
+            weight: 1.0 + guarantee / (1.0 + of.guarantee),
+        })
         .collect();
     let even = fill(rates.iter().sum::<f64>() / 2.0, &needs);
     let over = |rate: f64, even: f64| if even > 0.0 { rate / even } else { 1.0 };
     let least = rates.iter().zip(&even).map(|(r, e)| over(*r, *e)).fold(f64::INFINITY, f64::min);
-    let mine = class().zip(&even).find(|(g, _)| g.group == of.group);
-    mine.map_or(0.0, |(g, e)| ((over(g.rate, *e) / least).log2() - 1.0).max(0.0))
+    let mine = teams.keys().position(|t| **t == of.group.team);
+    mine.map_or(0.0, |i| ((over(rates[i], even[i]) / least).log2() - 1.0).max(0.0))
+}
+
+/// What each team should have of all processors, by max-min of all that it asks for, a team's
+/// guarantee counting by how it compares with the others'.
+fn shares(view: &View) -> BTreeMap<&TeamId, f64> {
+    let mut teams: BTreeMap<&TeamId, (f64, f64)> = BTreeMap::new();
+    for g in &view.groups {
+        let team = teams.entry(&g.group.team).or_default();
+        team.0 += g.rate + g.waiting / g.patience_s.max(1.0);
+        team.1 = g.guarantee;
+        if g.limit > 0.0 {
+            team.0 = team.0.min(g.limit);
+        }
+    }
+    let mean = teams.values().map(|t| t.1).sum::<f64>() / teams.len().max(1) as f64;
+    let weight = |guarantee: f64| 1.0 + if mean > 0.0 { guarantee / mean } else { 0.0 };
+    let needs: Vec<Need> =
+        teams.values().map(|t| Need { amount: t.0, weight: weight(t.1) }).collect();
+    teams.into_keys().zip(fill(view.capacity, &needs)).collect()
 }
 
 /// What each pressed group gets for its small jobs, by max-min: first what of any group has to be
@@ -193,14 +223,27 @@
     let all: Vec<&Demand> = pressed.iter().map(|p| p.0).chain(served.iter().copied()).collect();
     let mut floors = vec![0.0; all.len()];
     let most = rules.floors * view.capacity;
-    raise(&mut floors, most, all.iter().map(|g| g.must.need(g).min(g.guarantee)));
-    raise(&mut floors, most, all.iter().map(|g| g.must.need(g)));
+    // A floor keeps a group from starving; it is no way to more than its team's share. (A guest's
+    // six jobs, all of a size, had a floor of two thirds of the region: half of them was nearly
+    // all they asked for, and of the residents only the small ones counted.)
+    let shares = shares(view);
+    let mut must = vec![0.0; all.len()];
+    for (team, share) in &shares {
+        // Of one team's groups, by max-min again.
+        let of: Vec<usize> = (0..all.len()).filter(|&i| all[i].group.team == **team).collect();
+        let need = |&i: &usize| Need { amount: all[i].must.need(all[i]), weight: 1.0 };
+        let needs: Vec<Need> = of.iter().map(need).collect();
+        of.iter().zip(fill(*share, &needs)).for_each(|(&i, amount)| must[i] = amount);
+    }
+    let within = all.iter().zip(&must).map(|(g, must)| must.min(g.guarantee));
+    raise(&mut floors, most, within);
+    raise(&mut floors, most, must.iter().copied());
     floors.truncate(pressed.len());
     let others: f64 = served.iter().map(|g| g.rate + g.waiting / g.patience_s.max(1.0)).sum();
     raise(
         &mut floors,
         most.min(view.capacity - others),
-        pressed.iter().map(|(g, _)| g.should.need(g)),
+        pressed.iter().map(|(g, _)| g.should.need(g).min(shares[&g.group.team])),
     );
     floors
 }
--- a/crates/cleatfold-admission/src/lib.rs
+++ b/crates/cleatfold-admission/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fill;
 pub mod meter;
 pub mod order;
+pub mod room;
 
 pub use allot::{Allotment, Entry, Group};
 pub use decide::{decide, Demand, Judge, Rules, Small, View};
--- a/crates/cleatfold-admission/src/meter.rs
+++ b/crates/cleatfold-admission/src/meter.rs
@@ -49,6 +49,8 @@
 struct Asked {
     /// Work per second, decayed, as of `at`.
     rate: f64,
+    /// The same, times how long its tasks run.
+    runs: f64,
     at_s: f64,
     sizes: Sizes,
 }
@@ -71,14 +73,16 @@
 
 impl Meter {
     /// A job of `work` processor-seconds came at `at_s`; times come in any order.
-    pub fn arrived(&mut self, group: &Group, at_s: f64, work: f64) {
+    pub fn arrived(&mut self, group: &Group, at_s: f64, work: f64, run_s: f64) {
         let asked = match self.groups.get_mut(group) {
             Some(asked) => asked,
             None => self.groups.entry(group.clone()).or_default(),
         };
         let later = at_s.max(asked.at_s);
-        asked.rate *= (-(later - asked.at_s) / MEMORY_S).exp();
-        asked.rate += work / MEMORY_S * (-(later - at_s) / MEMORY_S).exp();
+        let forgotten = (-(later - asked.at_s) / MEMORY_S).exp();
+        let more = work / MEMORY_S * (-(later - at_s) / MEMORY_S).exp();
+        asked.rate = asked.rate * forgotten + more;
+        asked.runs = asked.runs * forgotten + more * run_s;
         asked.at_s = later;
         asked.sizes.note(work.max(1.0) as u64);
     }
@@ -89,6 +93,12 @@
         asked.map_or(0.0, |a| a.rate * (-(now_s - a.at_s).max(0.0) / MEMORY_S).exp())
     }
 
+    /// How long a processor that works for the group is taken, in the mean.
+    pub fn run_s(&self, group: &Group) -> f64 {
+        let asked = self.groups.get(group);
+        asked.filter(|a| a.rate > 0.0).map_or(0.0, |a| a.runs / a.rate)
+    }
+
     /// How the work is spread, `share` of the jobs being the small ones.
     pub fn spread(&self, group: &Group, share: f64) -> Option<Spread> {
         let sizes = self.groups.get(group)?.sizes.all();
--- a/crates/cleatfold-admission/tests/decide.rs
+++ b/crates/cleatfold-admission/tests/decide.rs
@@ -148,6 +148,9 @@
             // Guarantees come first, twelve of 50 at most; the rest is shared evenly.
             let guaranteed = view.groups.iter().filter(|g| g.guarantee > 0.0).count() as i64;
             let even = (900_000 - 50_000 * guaranteed).max(0) / entries.len() as i64;
+            // And nobody's floor is above its team's share, in which guarantees count as much
+            // again as heads do.
+            let even = even.min(500_000 / view.groups.len() as i64);
             let least = if g.guarantee > 0.0 { 900_000 / 12 } else { even };
             assert!(e.floor + 2 >= least.min(need as i64), "case {case}: {e:?} of {need}");
             assert!(e.floor <= need as i64 + 2, "case {case}: more than it needs");
@@ -197,9 +200,9 @@
     let mut meter = Meter::default();
     let g = group("a", "class");
     for s in 0..600 {
-        meter.arrived(&g, f64::from(s), 50.0);
+        meter.arrived(&g, f64::from(s), 50.0, 10.0);
         if s % 10 == 0 {
-            meter.arrived(&g, f64::from(s), 1000.0);
+            meter.arrived(&g, f64::from(s), 1000.0, 10.0);
         }
     }
     // 50 a second, and 1000 every ten seconds.
@@ -212,8 +215,8 @@
     assert!((spread.part / part - 1.0).abs() < 0.1, "{spread:?} against {part}");
     // A restarted node reads jobs in any order: late news counts by its age.
     let mut late = Meter::default();
-    late.arrived(&g, 100.0, 60.0);
-    late.arrived(&g, 40.0, 60.0);
+    late.arrived(&g, 100.0, 60.0, 10.0);
+    late.arrived(&g, 40.0, 60.0, 10.0);
     assert!((late.rate(&g, 100.0) - (1.0 + (-1.0f64).exp())).abs() < 1e-9);
 }
 
--- a/crates/cleatfold-clients/src/workers.rs
+++ b/crates/cleatfold-clients/src/workers.rs
@@ -1,5 +1,5 @@
-//! Direct orders to workers. Each is sent once: whoever gave it repeats it in the answer to the
-//! worker's next report.
+//! Direct orders and questions to workers. Each is sent once: whoever gave an order repeats it in
+//! the answer to the worker's next report, and whoever asks goes on to ask another worker.
 
 use crate::http::Http;
 use cleatfold_wire::worker::{Orders, Report};
@@ -11,27 +11,45 @@
 pub struct Job {
     pub machine: MachineId,
     pub endpoint: String,
-    pub orders: Orders,
+    pub what: Call,
 }
 
-/// Runs until the queue's senders are gone. `answer` gets the worker's report after the orders,
-/// or none where they were not executed or nothing is known of it.
+pub enum Call {
+    Orders(Orders),
+    /// Is it reached at all?
+    Inspect,
+}
+
+pub enum Told {
+    /// The worker's report after the orders; none where they were not executed or nothing is known of it.
+    Ordered(Option<Report>),
+    Inspected(bool),
+}
+
+/// Runs until the queue's senders are gone.
 pub async fn run(
     mut queue: mpsc::UnboundedReceiver<Job>,
-    answer: impl Fn(MachineId, Option<Report>) + Clone + 'static,
+    answer: impl Fn(MachineId, Told) + Clone + 'static,
 ) {
     let http = Http::anywhere();
     while let Some(job) = queue.recv().await {
         let (http, answer) = (http.clone(), answer.clone());
         tokio::task::spawn_local(async move {
-            let url = format!("http://{}/orders", job.endpoint);
-            let body = serde_json::to_vec(&job.orders).ok();
-            let reply = http.call(Method::POST, &url, body, Duration::from_secs(1)).await;
-            let report = match reply {
-                Ok((200, body)) => serde_json::from_slice(&body).ok(),
-                _ => None,
+            let call = async |method, path, body| {
+                let url = format!("http://{}{path}", job.endpoint);
+                http.call(method, &url, body, Duration::from_secs(1)).await
+            };
+            let told = match &job.what {
+                Call::Orders(orders) => {
+                    let body = serde_json::to_vec(orders).ok();
+                    Told::Ordered(match call(Method::POST, "/orders", body).await {
+                        Ok((200, body)) => serde_json::from_slice(&body).ok(),
+                        _ => None,
+                    })
+                }
+                Call::Inspect => Told::Inspected(call(Method::GET, "/inspect", None).await.is_ok()),
             };
-            answer(job.machine, report);
+            answer(job.machine, told);
         });
     }
 }
--- a/crates/cleatfold-control/src/admission.rs
+++ b/crates/cleatfold-control/src/admission.rs
@@ -11,6 +11,7 @@
 use crate::node::{Node, Pending};
 use crate::records::*;
 use cleatfold_admission::meter::Spread;
+use cleatfold_admission::room::{room, Asks, Room};
 use cleatfold_admission::{decide, Allotment, Demand, Entry, Group, Judge, Meter, Small, View};
 use cleatfold_duties::Duty;
 use cleatfold_wire::job::{JobSpec, Kind, Urgency};
@@ -37,6 +38,10 @@
     inflight: bool,
     /// Processors there were, over the last moments.
     capacity: VecDeque<(Ms, f64)>,
+    /// How urgent each group's jobs are, as the last one was.
+    urgencies: BTreeMap<Group, Urgency>,
+    /// What each team asks for, by urgency.
+    asks: BTreeMap<TeamId, Vec<Asks<Urgency>>>,
 }
 
 fn work(spec: &JobSpec, tasks: u32) -> f64 {
@@ -96,14 +101,68 @@
             let spec = &live.record.spec;
             let group = Group { team: spec.team.clone(), class: spec.class.clone() };
             let at_s = (live.record.accepted_ms as f64 / 1000.0).min(wall_s);
-            admission.meter.arrived(&group, at_s, work(spec, spec.tasks));
+            admission.meter.arrived(&group, at_s, work(spec, spec.tasks), spec.estimate_s);
+            admission.urgencies.insert(group, spec.urgency);
         }
         self.note_capacity();
+        self.note_asks();
         if self.holds(Duty::Allot) && self.in_contact() && self.list_at.is_some() {
             self.allot();
         }
     }
 
+    fn note_asks(&mut self) {
+        let wall_s = self.wall_ms as f64 / 1000.0;
+        let admission = &mut self.admission;
+        admission.asks.clear();
+        for (group, urgency) in &admission.urgencies {
+            let rate = admission.meter.rate(group, wall_s);
+            let run_s = admission.meter.run_s(group);
+            let asks = Asks { urgency: *urgency, rate, run_s };
+            admission.asks.entry(group.team.clone()).or_default().push(asks);
+        }
+    }
+
+    /// What long work like this job's may hold of a region of so many processors.
+    fn room_for(&self, spec: &JobSpec, capacity: f64) -> Option<Room> {
+        let asks = &self.admission.asks;
+        if asks.len() < 2 {
+            return None;
+        }
+        let guaranteed = self.cfg.teams.iter().map(|t| t.cpus);
+        let mean = guaranteed.sum::<f64>() / self.cfg.teams.len().max(1) as f64;
+        let weight = |team: &TeamId| {
+            let guarantee = self.cfg.team(team).map_or(0.0, |t| t.cpus);
+            1.0 + if mean > 0.0 { guarantee / mean } else { 0.0 }
+        };
+        room(asks, weight, capacity, &spec.team, spec.urgency)
+    }
+
+    /// Teams of which long work waits, and what that may hold: it leaves room for what comes.
+    pub(crate) fn long_rooms(&self) -> BTreeMap<TeamId, Room> {
+        let mut rooms = BTreeMap::new();
+        let capacity = self.admission.capacity.back().map_or(0.0, |c| c.1);
+        if self.cfg.admission.is_none() {
+            return rooms;
+        }
+        for live in self.mirror.jobs.values() {
+            let spec = &live.record.spec;
+            let limited = self.cfg.team(&spec.team).is_none_or(|t| t.is_limited());
+            let waits = !live.record.aborted && live.unclaimed() > 0;
+            if limited || !waits || spec.kind != Kind::Array || live.width().is_some() {
+                continue;
+            }
+            if rooms.contains_key(&spec.team) {
+                continue;
+            }
+            let room = self.room_for(spec, capacity);
+            if let Some(room) = room.filter(|r| spec.estimate_s > r.longer_than_s && r.part < 1.0) {
+                rooms.insert(spec.team.clone(), room);
+            }
+        }
+        rooms
+    }
+
     fn note_capacity(&mut self) {
         let mut capacity = 0.0;
         for m in self.fleet.machines.values() {
--- a/crates/cleatfold-control/src/config.rs
+++ b/crates/cleatfold-control/src/config.rs
@@ -89,11 +89,6 @@
         (self.report_ms * 5 / 2 + 4000).max(round)
     }
 
-    /// How many of a pool's workers must come astray before the pool moves after them.
-    pub fn strays_that_move(machines: usize) -> usize {
-        machines.div_ceil(4).max(1)
-    }
-
     /// After so long without the state service an owner stops answering workers. A job may
     /// have been cancelled elsewhere right after our last reading; the workers' lease must
     /// have run out before `cancel_s` has. The margin covers 0.05% of clock drift on either
--- a/crates/cleatfold-control/src/effects.rs
+++ b/crates/cleatfold-control/src/effects.rs
@@ -53,6 +53,11 @@
         machine: MachineId,
         report: Option<Report>,
     },
+    /// Whether a worker answered a question that only asked whether it is reached.
+    Probed {
+        machine: MachineId,
+        answered: bool,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -177,6 +182,11 @@
         endpoint: String,
         orders: Orders,
     },
+    /// A question to a worker that only asks whether it is reached.
+    Probe {
+        machine: MachineId,
+        endpoint: String,
+    },
     /// To one peer, or to all.
     Mesh {
         to: Option<NodeId>,
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -89,7 +89,7 @@
         let mut orphans = Vec::new();
         for pool in &pools {
             match self.mirror.pools.get(pool) {
-                Some(h) if self.live(h) => {
+                Some(h) if self.live(h) && !self.is_out_of_reach(&h.owner, pool) => {
                     *held.entry(h.owner.clone()).or_default() += weight(pool);
                 }
                 _ => orphans.push(pool.clone()),
@@ -99,17 +99,24 @@
         orphans.sort_by(|a, b| weight(b).total_cmp(&weight(a)).then(a.cmp(b)));
         let average = pools.iter().map(&weight).sum::<f64>() / held.len() as f64;
         for pool in orphans {
+            // Where nobody reaches the zone, one is as good as another.
+            let anyone = self.mirror.nodes.keys().any(|n| self.may_hold(n, &pool.zone));
+            let can = |n: &NodeId| !anyone || self.may_hold(n, &pool.zone);
             // One pool, however large, has to be with someone.
             let light = |n: &NodeId, most: f64| {
-                held.get(n).is_some_and(|h| *h == 0.0 || *h + weight(&pool) <= average * most + 1.0)
+                can(n)
+                    && held
+                        .get(n)
+                        .is_some_and(|h| *h == 0.0 || *h + weight(&pool) <= average * most + 1.0)
             };
             // A former owner that is back after a restart: its workers are looking for it, and
             // hundreds of them moving elsewhere cost both nodes seconds of processor time.
             let former = self.mirror.pools.get(&pool).map(|h| h.owner.clone());
+            let least = held.iter().filter(|(n, _)| can(n)).min_by(|a, b| a.1.total_cmp(b.1));
             let to = former
                 .filter(|n| light(n, 2.0))
                 .or_else(|| self.home_of(&pool.zone).filter(|n| light(n, 1.3)))
-                .or_else(|| held.iter().min_by(|a, b| a.1.total_cmp(b.1)).map(|(n, _)| n.clone()));
+                .or_else(|| least.map(|(n, _)| n.clone()));
             if let Some(to) = to {
                 *held.entry(to.clone()).or_default() += weight(&pool);
                 moves.push((pool, to));
@@ -147,23 +154,27 @@
         weight: &impl Fn(&PoolId) -> f64,
     ) -> Option<(PoolId, NodeId)> {
         let most = held.iter().max_by(|a, b| a.1.total_cmp(b.1))?;
-        let least = held.iter().min_by(|a, b| a.1.total_cmp(b.1))?;
-        let gap = most.1 - least.1;
         let average = held.values().sum::<f64>() / held.len() as f64;
         // Every move costs its workers a change of node: only clear unevenness is worth one.
-        let restless = self.dealt.values().any(|at| self.now.since(*at) < SETTLE_MS);
-        if gap < average * 0.6 || restless {
+        if self.dealt.values().any(|at| self.now.since(*at) < SETTLE_MS) {
             return None;
         }
+        // Not to a controller that its workers do not reach, though that has fewest.
+        let least_for = |pool: &PoolId| {
+            let can = held.iter().filter(|(n, _)| self.may_hold(n, &pool.zone));
+            can.min_by(|a, b| a.1.total_cmp(b.1))
+        };
         pools
             .iter()
             .filter(|p| self.mirror.pools.get(*p).is_some_and(|h| h.owner == *most.0))
-            .filter(|p| weight(p) < gap * 0.8)
+            .filter_map(|p| Some((p, least_for(p)?)))
+            .map(|(p, (node, held))| (p, node, most.1 - held))
+            .filter(|(p, _, gap)| *gap >= average * 0.6 && weight(p) < gap * 0.8)
             .min_by(|a, b| {
-                let left = |p: &PoolId| (gap - 2.0 * weight(p)).abs();
-                left(a).total_cmp(&left(b)).then(a.cmp(b))
+                let left = |(p, _, gap): &(&PoolId, &NodeId, f64)| (gap - 2.0 * weight(p)).abs();
+                left(a).total_cmp(&left(b)).then(a.0.cmp(b.0))
             })
-            .map(|p| (p.clone(), least.0.clone()))
+            .map(|(p, node, _)| (p.clone(), node.clone()))
     }
 
     fn send_deal(&mut self, moves: Vec<(PoolId, NodeId)>) {
@@ -176,6 +187,7 @@
                 self.mirror.pools.get(&pool).map(|h| Version(h.token.0)).unwrap_or_default();
             tracing::info!(%pool, %node, "dealing");
             txn.guard(pool_key(&pool), version);
+            self.reach.dealt(&pool, &node);
             txn.put(pool_key(&pool), &HolderRecord { owner: node, incarnation }, None);
             self.dealt.insert(pool, self.now);
         }
@@ -187,13 +199,14 @@
     }
 
     /// Workers of a pool come here since they cannot reach its owner: take it.
-    pub(crate) fn take_over(&mut self, pool: PoolId) {
+    pub(crate) fn take_over(&mut self, pool: PoolId, owner: &NodeId) {
         let recent = self.dealt.get(&pool).is_some_and(|at| self.now.since(*at) < SETTLE_MS);
         if recent || self.dealing.is_some() || !self.in_contact() {
             return;
         }
         let me = self.cfg.me.clone();
-        tracing::info!(%pool, "its workers come here: taking the pool over");
+        self.reach.view.left(owner, &pool.zone, self.now);
+        tracing::info!(%pool, %owner, "its workers come here: taking the pool over");
         self.send_deal(vec![(pool, me)]);
     }
 
@@ -380,6 +393,9 @@
                 m
             });
             machine.listed_at = now;
+            if machine.endpoint.is_none() {
+                machine.endpoint.clone_from(&listed.endpoint);
+            }
             // An old list must not take a reporting machine back to booting.
             if machine.report.is_none() || listed.state == MachineState::Failed {
                 machine.listed = Some(listed.state);
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -19,6 +19,7 @@
 mod node;
 mod pace;
 mod queue;
+mod reach;
 pub mod records;
 mod renting;
 mod requests;
--- a/crates/cleatfold-control/src/limits.rs
+++ b/crates/cleatfold-control/src/limits.rs
@@ -8,14 +8,19 @@
 use crate::node::{Node, Pending};
 use crate::records::*;
 use crate::schedule::PoolPlan;
+use cleatfold_admission::room::Room;
 use cleatfold_plan::chart::FOREVER;
 use cleatfold_plan::{Resources, Timeline};
+use cleatfold_wire::job::JobSpec;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 pub(crate) type Usage = BTreeMap<(TeamId, PoolId), Resources>;
 
+/// As good as none.
+const FAR: i64 = i64::MAX / 8;
+
 /// A part is kept for what a pool has reserved to start within this time.
 const KEEP_MS: u64 = 10_000;
 
@@ -34,12 +39,18 @@
 /// A limit that a pool's machines could exceed, and what is left of it there.
 pub(crate) struct Binding {
     pub team: TeamId,
+    /// It binds only the team's tasks that run longer than this.
+    pub longer_than_s: f64,
     left: Resources,
     /// What comes back to it, by the second from now in which its tasks are expected to end.
     back: BTreeMap<u64, Resources>,
 }
 
 impl Binding {
+    pub fn binds(&self, spec: &JobSpec) -> bool {
+        self.team == spec.team && spec.estimate_s > self.longer_than_s
+    }
+
     /// A task of the team in this pool is expected to end.
     pub fn ends(&mut self, now: Ms, end: Ms, each: Resources) {
         if end.0 < FOREVER {
@@ -47,9 +58,9 @@
         }
     }
 
-    pub fn over_time(self, now: Ms) -> (TeamId, Timeline) {
-        let back = self.back.into_iter().map(|(s, what)| (now.plus(s * 1000), what));
-        (self.team, Timeline::growing(now, self.left, back))
+    pub fn over_time(&self, now: Ms) -> Timeline {
+        let back = self.back.iter().map(|(s, what)| (now.plus(s * 1000), *what));
+        Timeline::growing(now, self.left, back)
     }
 }
 
@@ -104,6 +115,7 @@
         pool: &PoolId,
         machines: usize,
         usage: &Usage,
+        rooms: &BTreeMap<TeamId, Room>,
     ) -> Vec<Binding> {
         let capacity = self.fleet.total(&pool.machine_type).times(machines as u32);
         let mut binding = Vec::new();
@@ -115,14 +127,46 @@
             }
             let used = usage.get(&(team.name.clone(), pool.clone())).copied().unwrap_or_default();
             let left = hope - Resources { memory: 0, ..used };
-            binding.push(Binding { team: team.name.clone(), left, back: BTreeMap::new() });
+            let (team, back) = (team.name.clone(), BTreeMap::new());
+            binding.push(Binding { team, longer_than_s: -1.0, left, back });
+        }
+        for (team, room) in rooms {
+            let mut left = Resources { memory: FAR, gpus: FAR, ..capacity };
+            left.cpus =
+                (capacity.cpus as f64 * room.part) as i64 - self.long_usage(team, room, pool);
+            let (team, back) = (team.clone(), BTreeMap::new());
+            binding.push(Binding { team, longer_than_s: room.longer_than_s, left, back });
         }
         binding
     }
 
+    /// Thousandths of processors that a team's long work has in a pool, or is about to.
+    fn long_usage(&self, team: &TeamId, room: &Room, pool: &PoolId) -> i64 {
+        let long = |live: &&Live| {
+            let spec = &live.record.spec;
+            spec.team == *team && spec.estimate_s > room.longer_than_s
+        };
+        let mut used = 0;
+        for (id, live) in self.mirror.jobs.iter().filter(|(_, l)| long(l)) {
+            let here = live.by_pool.iter().find(|(p, _)| p == pool).map_or(0, |p| p.1);
+            // What has ended holds nothing, whether that is recorded or not.
+            let ends = self.locals.get(id).into_iter().flat_map(|l| &l.ends);
+            let in_pool =
+                |m: &MachineId| self.fleet.machines.get(m).is_some_and(|m| m.pool == *pool);
+            let ended = ends.filter(|e| in_pool(&e.machine)).count() as u32;
+            used += live.each.times(here.saturating_sub(ended)).cpus;
+        }
+        for pending in self.ops.values() {
+            let Pending::Job(tx) = pending else { continue };
+            let Some(live) = self.mirror.jobs.get(&tx.job).filter(long) else { continue };
+            let claimed = tx.claimed().filter(|(p, _)| p == pool).map(|p| p.1);
+            used += live.each.times(claimed.sum()).cpus;
+        }
+        used
+    }
+
     /// The pool's part of a team's limit, and what of the limit is no pool's.
     fn part_and_free(&self, team: &crate::config::Team, pool: &PoolId) -> (Resources, Resources) {
-        const FAR: i64 = i64::MAX / 8;
         let record = self.mirror.slices.get(&team.name).map(|s| &s.1);
         let parts = || record.iter().flat_map(|r| &r.pools);
         let part = parts().find(|(p, _)| *p == pool).map(|p| *p.1).unwrap_or_default();
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -109,13 +109,6 @@
     Steps(Box<StepReport>),
 }
 
-pub(crate) struct Peer {
-    /// When the peer last said that it had read the state service.
-    pub contact: Option<Ms>,
-    /// When anything last came from it over the mesh.
-    pub heard: Option<Ms>,
-}
-
 pub struct Node {
     pub(crate) cfg: Config,
     pub(crate) now: Ms,
@@ -159,8 +152,6 @@
     pub(crate) deal_looked: Ms,
     pub(crate) deal_settled: Ms,
     pub(crate) dealt: BTreeMap<PoolId, Ms>,
-    /// Under which token each pool was last seen, and since when.
-    pub(crate) tokens_seen: BTreeMap<PoolId, (Token, Ms)>,
 
     pub(crate) locals: BTreeMap<JobId, Local>,
     pub(crate) submissions: VecDeque<Submission>,
@@ -178,12 +169,12 @@
     pub(crate) list_acc: Vec<cleatfold_wire::cloud::ListedMachine>,
     pub(crate) owned_since: BTreeMap<PoolId, (Token, Ms)>,
     pub(crate) held: BTreeMap<MachineId, crate::workers::Held>,
-    pub(crate) strays: BTreeMap<MachineId, (Option<PoolId>, VecDeque<Ms>)>,
+    /// Who reaches whom.
+    pub(crate) reach: crate::reach::Reaching,
     pub(crate) started: Option<Ms>,
     pub(crate) last_tick: Ms,
     pub(crate) watched: Ms,
 
-    pub(crate) peers: BTreeMap<NodeId, Peer>,
     /// Pools under a higher token than we have read, as told by their owners.
     pub(crate) hinted: BTreeMap<PoolId, (NodeId, Token)>,
     pub(crate) alive_sent: Ms,
@@ -201,11 +192,7 @@
 
 impl Node {
     pub fn new(cfg: Config) -> Self {
-        let peers = cfg
-            .peers
-            .iter()
-            .map(|(id, _)| (id.clone(), Peer { contact: None, heard: None }))
-            .collect();
+        let reach = crate::reach::Reaching::new(&cfg);
         Self {
             cfg,
             now: Ms(0),
@@ -240,7 +227,6 @@
             deal_looked: Ms(0),
             deal_settled: Ms(0),
             dealt: BTreeMap::new(),
-            tokens_seen: BTreeMap::new(),
             locals: BTreeMap::new(),
             submissions: VecDeque::new(),
             submit_inflight: false,
@@ -256,11 +242,10 @@
             list_acc: Vec::new(),
             owned_since: BTreeMap::new(),
             held: BTreeMap::new(),
-            strays: BTreeMap::new(),
+            reach,
             started: None,
             last_tick: Ms(0),
             watched: Ms(0),
-            peers,
             hinted: BTreeMap::new(),
             alive_sent: Ms(0),
             plans: Plans::default(),
@@ -295,6 +280,7 @@
             Event::Cloud { op, reply } => self.on_cloud(op, reply),
             Event::Mesh { from, message } => self.on_mesh(from, message),
             Event::Ordered { machine, report } => self.on_ordered(machine, report),
+            Event::Probed { machine, answered } => self.on_probed(machine, answered),
         }
         if std::mem::take(&mut self.flush_due) {
             self.flush();
@@ -337,6 +323,7 @@
             for m in self.fleet.machines.values_mut() {
                 m.known = m.known.max(self.now);
             }
+            self.reach.view.stood_still(self.now);
         }
         self.last_tick = self.now;
         for (at, op, lane, request) in std::mem::take(&mut self.resend) {
@@ -365,6 +352,7 @@
         if !self.serving() {
             return;
         }
+        self.keep_reach();
         self.keep_duties();
         self.watch_machines();
         self.complete_elastic();
@@ -403,9 +391,7 @@
         }
         // In an outage that all share, leaving would only lose the users their connections.
         // Where a peer still reads the state service, the users are better served there.
-        let peer_in_contact =
-            self.peers.values().any(|p| p.contact.is_some_and(|c| self.now.since(c) < 4000));
-        self.in_contact() || !peer_in_contact
+        self.in_contact() || !self.reach.view.peers.someone_reads(self.now)
     }
 
     // ---- the lease and our own key ----
@@ -553,12 +539,7 @@
 
     /// Sees which pools came to us since, and under which token.
     fn note_ownership(&mut self) {
-        for (pool, holding) in &self.mirror.pools {
-            let seen = self.tokens_seen.entry(pool.clone()).or_default();
-            if seen.0 != holding.token {
-                *seen = (holding.token, self.now);
-            }
-        }
+        self.note_holders();
         let mine: Vec<(PoolId, Token)> = self
             .mirror
             .pools
@@ -675,15 +656,11 @@
     // ---- the mesh ----
 
     fn on_mesh(&mut self, from: NodeId, message: Message) {
-        if let Some(peer) = self.peers.get_mut(&from) {
-            peer.heard = Some(self.now);
-        }
+        self.reach.view.peers.heard_of(&from, self.now);
         match message {
             Message::Alive { contact_age_ms } => {
                 let contact = Ms(self.now.0.saturating_sub(contact_age_ms));
-                if let Some(peer) = self.peers.get_mut(&from) {
-                    peer.contact = Some(contact);
-                }
+                self.reach.view.peers.read(&from, contact);
             }
             Message::Changed => {
                 self.want_sync = true;
@@ -707,6 +684,10 @@
                     self.note_rented(&pool, spot, machines);
                 }
             }
+            Message::Unreached { zones } => {
+                let zones = zones.into_iter().map(ZoneId::new).collect();
+                self.reach.view.peers.unreached(&from, zones, self.now);
+            }
             Message::Assign { pools, jobs } => self.on_assign(&from, pools, jobs),
             Message::Promises { pool, token, promises } => {
                 let Some(pool) = PoolId::parse(&pool) else {
--- /dev/null
+++ b/crates/cleatfold-control/src/reach.rs
@@ -0,0 +1,131 @@
+//! Who reaches whom: what workers and peers show of it, questions to workers that have been quiet, and
+//! pools that follow the workers. `cleatfold_reach` decides.
+
+use crate::config::Config;
+use crate::effects::Effect;
+use crate::node::Node;
+use cleatfold_reach::{Reach, Timing};
+use cleatfold_wire::cloud::MachineState;
+use cleatfold_wire::mesh::Message;
+use cleatfold_wire::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const LOOK_MS: u64 = 500;
+
+pub(crate) struct Reaching {
+    pub view: Reach,
+    looked: Ms,
+    told: Ms,
+    /// What was told last.
+    unreached: BTreeSet<ZoneId>,
+    /// Who held each pool when we last looked.
+    holders: BTreeMap<PoolId, NodeId>,
+    /// To whom we have dealt pools ourselves.
+    dealt: BTreeMap<PoolId, NodeId>,
+}
+
+impl Reaching {
+    pub fn new(cfg: &Config) -> Self {
+        Self {
+            view: Reach::new(Timing { report_ms: cfg.report_ms }),
+            looked: Ms(0),
+            told: Ms(0),
+            unreached: BTreeSet::new(),
+            holders: BTreeMap::new(),
+            dealt: BTreeMap::new(),
+        }
+    }
+
+    pub fn dealt(&mut self, pool: &PoolId, node: &NodeId) {
+        self.dealt.insert(pool.clone(), node.clone());
+    }
+}
+
+impl Node {
+    /// Asks workers of zones that have been quiet, and tells the others what we do not reach.
+    pub(crate) fn keep_reach(&mut self) {
+        if self.now.since(self.reach.looked) < LOOK_MS {
+            return;
+        }
+        self.reach.looked = self.now;
+        // By zone: machines that are up, and how many of them report to us.
+        let mut zones: BTreeMap<&ZoneId, (Vec<MachineId>, usize)> = BTreeMap::new();
+        for (id, m) in &self.fleet.machines {
+            let up = m.report.is_some() || m.listed == Some(MachineState::Running);
+            if m.endpoint.is_none() || m.deleting || !up {
+                continue;
+            }
+            let zone = zones.entry(&m.pool.zone).or_default();
+            zone.0.push(id.clone());
+            let ours = self.owned_since.get(&m.pool).map(|o| o.0);
+            zone.1 += usize::from(ours.is_some() && m.report.as_ref().map(|r| r.token) == ours);
+        }
+        let zones = zones.iter().map(|(z, (machines, own))| (*z, machines.as_slice(), *own));
+        for probe in self.reach.view.probe(self.now, zones) {
+            let endpoint = self.fleet.machines.get(&probe.machine).and_then(|m| m.endpoint.clone());
+            if let Some(endpoint) = endpoint {
+                self.out.push(Effect::Probe { machine: probe.machine, endpoint });
+            }
+        }
+        let unreached = self.reach.view.unreached();
+        let changed = unreached != self.reach.unreached;
+        if changed {
+            tracing::info!(zones = ?unreached, "workers not reached");
+            self.reach.unreached = unreached;
+        }
+        if changed || (!self.reach.unreached.is_empty() && self.now.since(self.reach.told) > 1000) {
+            self.reach.told = self.now;
+            let zones = self.reach.unreached.iter().map(|z| z.to_string()).collect();
+            self.tell(None, Message::Unreached { zones });
+        }
+    }
+
+    pub(crate) fn on_probed(&mut self, machine: MachineId, answered: bool) {
+        if let Some(m) = self.fleet.machines.get(&machine) {
+            self.reach.view.probed(&m.pool.zone, &machine, answered, self.now);
+        }
+    }
+
+    /// A worker came here that should be at the owner's: perhaps its pool should come after it.
+    pub(crate) fn on_stray(&mut self, machine: &MachineId, pool: &PoolId, owner: &NodeId) {
+        let machines = self.fleet.machines.values().filter(|m| m.pool == *pool).count();
+        let heard = self.reach.view.peers.heard(owner);
+        let lease_ms = self.cfg.node_ttl_ms;
+        let strays = &mut self.reach.view.strays;
+        if strays.came(machine, pool, machines, heard, lease_ms, self.now) {
+            self.take_over(pool.clone(), owner);
+        }
+    }
+
+    /// Sees who holds the pools now. Where one went from a controller that lives to another and it was not
+    /// us who dealt it so, its workers have left the first.
+    pub(crate) fn note_holders(&mut self) {
+        for (pool, holding) in &self.mirror.pools {
+            self.reach.view.strays.see_token(pool, holding.token, self.now);
+            let before = self.reach.holders.get(pool);
+            if before == Some(&holding.owner) {
+                continue;
+            }
+            if let Some(before) = before {
+                let ours = self.reach.dealt.get(pool) == Some(&holding.owner);
+                if !ours && self.mirror.nodes.contains_key(before) {
+                    self.reach.view.left(before, &pool.zone, self.now);
+                    // And it has only just moved.
+                    self.dealt.insert(pool.clone(), self.now);
+                }
+            }
+            self.reach.holders.insert(pool.clone(), holding.owner.clone());
+        }
+    }
+
+    /// Whether the controller may be given a share of a zone's machines: as far as we know it reaches them.
+    pub(crate) fn may_hold(&self, node: &NodeId, zone: &ZoneId) -> bool {
+        self.reach.view.may_hold(&self.cfg.me, node, zone, self.now)
+    }
+
+    /// Its owner does not reach the pool's workers, and another controller would.
+    pub(crate) fn is_out_of_reach(&self, owner: &NodeId, pool: &PoolId) -> bool {
+        self.reach.view.is_cut(&self.cfg.me, owner, &pool.zone, self.now)
+            && self.mirror.nodes.keys().any(|n| n != owner && self.may_hold(n, &pool.zone))
+    }
+}
--- a/crates/cleatfold-control/src/renting.rs
+++ b/crates/cleatfold-control/src/renting.rs
@@ -192,7 +192,9 @@
         let sizes = self.fleet.sizes();
         for Queued { job: id, tasks: unclaimed, growth } in self.queue() {
             let Some(live) = self.mirror.jobs.get(&id) else { continue };
-            if growth {
+            // Nor is anything rented for another try of what fails wherever it runs.
+            let tries_here = |(pool, _): &(PoolId, bool)| self.may_use(live, pool);
+            if growth || (self.is_suspect(&id, live) && supply.keys().any(tries_here)) {
                 continue;
             }
             let spec = &live.record.spec;
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -96,15 +96,15 @@
             .collect();
         let mut plans = Vec::new();
         let by_pool = self.fleet.by_pool();
+        let rooms = self.long_rooms();
         for (pool, token) in pools {
             let members = by_pool.get(&pool).map(Vec::as_slice).unwrap_or_default();
-            let mut binding = self.binding_limits(&pool, members.len(), usage);
+            let mut binding = self.binding_limits(&pool, members.len(), usage, &rooms);
             let (machines, mut charts) = self.charts(&pool, token, members, &mut binding);
             if machines.is_empty() {
                 continue;
             }
-            let (teams, mut limits): (Vec<TeamId>, Vec<Timeline>) =
-                binding.into_iter().map(|b| b.over_time(self.now)).unzip();
+            let mut limits: Vec<Timeline> = binding.iter().map(|b| b.over_time(self.now)).collect();
             let open = charts.iter().map(|c| c.open).collect();
             let mut plan = PoolPlan {
                 pool,
@@ -116,7 +116,7 @@
                 requests: Vec::new(),
                 reservations: Vec::new(),
             };
-            self.requests_for(&mut plan, queue, &teams);
+            self.requests_for(&mut plan, queue, &binding);
             plan.reservations =
                 cleatfold_plan::plan(&mut charts, &mut limits, &plan.requests, CHUNKS);
             plans.push(plan);
@@ -175,8 +175,7 @@
                     Some((last, live, local, limit)) if last == job => (live, local, limit),
                     _ => {
                         let Some(live) = self.mirror.jobs.get(job) else { continue };
-                        let team = &live.record.spec.team;
-                        let limit = binding.iter().position(|b| b.team == *team);
+                        let limit = binding.iter().position(|b| b.binds(&live.record.spec));
                         (live, self.locals.get(job), limit)
                     }
                 };
@@ -264,7 +263,7 @@
             && live.each.within(&self.fleet.total(&pool.machine_type))
     }
 
-    fn requests_for(&self, plan: &mut PoolPlan, queue: &[Queued], limited: &[TeamId]) {
+    fn requests_for(&self, plan: &mut PoolPlan, queue: &[Queued], limited: &[Binding]) {
         let pool = &plan.pool;
         for Queued { job: id, tasks: unclaimed, growth } in queue {
             let Some(live) = self.mirror.jobs.get(id) else {
@@ -301,7 +300,7 @@
                 image_gb: spec.image_gb,
                 spot: spec.spot,
                 gang: spec.kind == Kind::Gang,
-                limit: limited.iter().position(|t| *t == spec.team),
+                limit: limited.iter().position(|b| b.binds(spec)),
                 avoid: Vec::new(),
             };
             self.avoided(id, &plan.machines, &mut request);
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -6,7 +6,6 @@
 //! in `leader.rs` (deletion): an exit; absence from a report whose worker had seen our token;
 //! a lease that has provably run out; deletion or failure of the machine.
 
-use crate::config::Config;
 use crate::effects::*;
 use crate::fleet::{LastReport, Machine};
 use crate::jobs::End;
@@ -15,7 +14,7 @@
 use cleatfold_wire::worker::{Command, Exit, RawReport, Report, ReportReply, TaskState};
 use cleatfold_wire::*;
 use serde_json::value::RawValue;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 /// A report whose answer waits a moment for a command.
 #[derive(Debug)]
@@ -26,13 +25,9 @@
     until: Ms,
 }
 
-/// How a worker that cannot reach its owner shows: it comes to us again and again.
-const STRAY_WINDOW_MS: u64 = 15_000;
-/// What a worker needs to find a pool's new owner: an answer that does not come, and a pause.
-const UNDERWAY_MS: u64 = 5000;
-
 impl Node {
     pub(crate) fn on_report(&mut self, rid: u64, report: RawReport) {
+        self.reach.view.heard(&report.zone, self.now);
         if !self.serving() || self.fleet.is_deleted(&report.machine) {
             return self.reply(rid, Response::Redirect(None));
         }
@@ -168,49 +163,11 @@
             _ => None,
         };
         if let Some(owner) = &owner {
-            if self.is_astray(machine, pool, owner) {
-                self.take_over(pool.clone());
-            }
+            self.on_stray(machine, pool, owner);
         }
         self.reply(rid, Response::Redirect(owner));
     }
 
-    /// Notes that a worker of a pool came here in vain. True if the pool should come after it.
-    /// Once may be a hand-over; again means that it cannot get through to its owner. Some of a
-    /// large pool can't for a moment whenever its owner is busy, and a move costs all of them
-    /// a change of node: the pool moves when a fair part of it has come. While nothing is heard
-    /// of the owner it may be gone, and back in a moment: its lease in the state service decides
-    /// that, and only workers that stay astray beyond it (the owner lives, behind a cut) count.
-    fn is_astray(&mut self, machine: &MachineId, pool: &PoolId, owner: &NodeId) -> bool {
-        let now = self.now;
-        // Its workers are still on their way to an owner that has only just got the pool.
-        if self.tokens_seen.get(pool).is_some_and(|s| now.since(s.1) < UNDERWAY_MS) {
-            return false;
-        }
-        let heard = self.peers.get(owner).and_then(|p| p.heard);
-        let patience = match heard {
-            Some(at) if now.since(at) < 2500 => 1200,
-            _ => self.cfg.node_ttl_ms + 1500,
-        };
-        let again = |times: &VecDeque<Ms>| {
-            let fresh: Vec<&Ms> =
-                times.iter().filter(|t| now.since(**t) <= STRAY_WINDOW_MS).collect();
-            fresh.len() >= 2 && now.since(*fresh[0]) > patience
-        };
-        let (of, times) = self.strays.entry(machine.clone()).or_default();
-        *of = Some(pool.clone());
-        times.push_back(now);
-        while times.front().is_some_and(|t| now.since(*t) > STRAY_WINDOW_MS) {
-            times.pop_front();
-        }
-        if !again(times) {
-            return false;
-        }
-        let came = self.strays.values().filter(|s| s.0.as_ref() == Some(pool) && again(&s.1));
-        let machines = self.fleet.machines.values().filter(|m| m.pool == *pool).count();
-        came.count() >= Config::strays_that_move(machines)
-    }
-
     /// The report repeats its machine's last one, and nothing here has changed since that would
     /// call for a command: most reports of a large fleet. (Reading each of them in full and
     /// going through its claims took most of the processor time that reports cost.)
@@ -230,7 +187,7 @@
 
     /// Notes such a report: as new as any other.
     fn take_again(&mut self, report: &RawReport, token: Token) {
-        self.strays.remove(&report.machine);
+        self.reach.view.strays.arrived(&report.machine);
         self.drop_held(&report.machine);
         let now = self.now;
         let Some(machine) = self.fleet.machines.get_mut(&report.machine) else { return };
@@ -257,7 +214,7 @@
     ) -> Vec<Command> {
         let now = self.now;
         let id = report.machine.clone();
-        self.strays.remove(&id);
+        self.reach.view.strays.arrived(&id);
         self.drop_held(&id);
         let spot = report.spot;
         let machine = self
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -3,6 +3,7 @@
 //!
 //! Time is simulated and all luck is seeded: a seed always plays the same day.
 
+mod troubles;
 mod users;
 mod watch;
 mod workers;
@@ -67,6 +68,8 @@
     },
     User(usize),
     Crash(usize),
+    /// A controller's incarnation goes on after it stood still.
+    Thaw(usize, u32),
     Restart(usize),
     Cut {
         node: usize,
@@ -225,6 +228,7 @@
     pub cloud_off: bool,
     /// How much later than usual the state service's answers reach a node.
     pub slow_answers: Vec<u64>,
+    pub troubles: troubles::Troubles,
 }
 
 pub fn node_id(i: usize) -> NodeId {
@@ -331,6 +335,7 @@
             mesh_off: false,
             cloud_off: false,
             slow_answers: vec![0; NODES],
+            troubles: Default::default(),
         };
         for i in 0..NODES {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -408,6 +413,7 @@
     }
 
     pub fn give(&mut self, node: usize, event: Event) {
+        let Some(event) = self.kept_back(node, event) else { return };
         let (now, wall) = (self.now, 1_000_000 + self.now.0);
         let Some(n) = &mut self.nodes[node] else { return };
         let began = std::time::Instant::now();
@@ -444,6 +450,16 @@
                     let delay = self.delay(node);
                     self.at(delay, Happens::Orders { node, life, machine, orders });
                 }
+                Effect::Probe { machine, .. } => {
+                    let delay = 2 * self.delay(node);
+                    let worker = self.workers.get(&machine);
+                    let there = |w: &Worker| {
+                        !self.troubles.cut_off(node, &w.zone, self.now) && delay < 1000
+                    };
+                    let answered = worker.is_some_and(there);
+                    let event = Event::Probed { machine, answered };
+                    self.at(delay.min(1000), Happens::Node(node, life, Box::new(event)));
+                }
                 Effect::Mesh { to, message } => self.on_mesh(node, to, &message),
             }
         }
@@ -521,6 +537,7 @@
                     self.at(back, Happens::Restart(i));
                 }
             }
+            Happens::Thaw(i, life) => self.thaw(i, life),
             Happens::Restart(i) => self.nodes[i] = Some(Node::new(config(i, self.size))),
             Happens::Cut { node, until } => self.cut[node] = self.cut[node].max(until),
             Happens::StoreCut { node, until } => self.store_cut[node] = until,
--- a/crates/cleatfold-lab/src/world/workers.rs
+++ b/crates/cleatfold-lab/src/world/workers.rs
@@ -116,7 +116,7 @@
         link.waiting = Some(number);
         let node = link.target;
         self.at(4000, Happens::WorkerTimeout { machine: id.clone(), number });
-        if self.nodes[node].is_none() {
+        if self.nodes[node].is_none() || self.troubles.cut_off(node, &report.zone, now) {
             return;
         }
         let delay = self.delay(node);
@@ -139,13 +139,13 @@
         link.waiting = None;
         match response {
             Response::Worker(reply) => {
-                let jobs = &self.jobs;
+                let (jobs, broken) = (&self.jobs, &self.troubles.broken);
                 let find = |task: &TaskId| {
                     let spec = jobs.get(&task.job)?.spec.clone()?;
                     (task.ix.0 < spec.tasks).then(|| {
                         let run = (spec.estimate_s * 1000.0) as u64;
                         let run = run / 2 + run * (u64::from(task.ix.0) % 5) / 4;
-                        (spec, run, false)
+                        (spec, run, broken.contains(&task.job))
                     })
                 };
                 let Some(worker) = self.workers.get_mut(&id) else { return };
--- /dev/null
+++ b/crates/cleatfold-reach/src/contact.rs
@@ -0,0 +1,104 @@
+//! What this controller hears of one zone's workers.
+
+use cleatfold_wire::{MachineId, Ms, ZoneId};
+use std::collections::BTreeSet;
+
+/// From the workers' report interval.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Timing {
+    pub report_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self { report_ms: 1000 }
+    }
+}
+
+/// Nothing is asked more often than this, and quiet zones no more often than `SELDOM_MS`.
+const OFTEN_MS: u64 = 1_000;
+const SELDOM_MS: u64 = 5_000;
+/// So many questions in a row were not answered, by as many machines where there are so many: it is
+/// not the machines.
+const UNANSWERED: usize = 3;
+
+impl Timing {
+    /// How long a zone of which so many machines report to us may be quiet before it is asked: three
+    /// reports should have come, and never sooner than a second or two; machines that report to
+    /// others are asked from time to time.
+    fn quiet_ms(&self, reporting: usize) -> u64 {
+        match reporting {
+            0 => SELDOM_MS,
+            n => (3 * self.report_ms / n as u64).clamp(1_500, 2 * self.report_ms + 1_500),
+        }
+    }
+}
+
+/// A question to be put to a machine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Probe {
+    pub zone: ZoneId,
+    pub machine: MachineId,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Contact {
+    heard: Ms,
+    asked: Ms,
+    /// Turns the questions over the machines.
+    turn: usize,
+    /// Questions that were not answered since anything was heard, and the machines they went to.
+    in_vain: usize,
+    unanswered: BTreeSet<MachineId>,
+    /// Machines of the zone that are up.
+    machines: usize,
+}
+
+impl Contact {
+    pub fn heard(&mut self, now: Ms) {
+        self.heard = now;
+        self.in_vain = 0;
+        self.unanswered.clear();
+    }
+
+    pub fn unanswered(&mut self, machine: &MachineId) {
+        self.in_vain += 1;
+        self.unanswered.insert(machine.clone());
+    }
+
+    pub fn is_lost(&self) -> bool {
+        self.in_vain >= UNANSWERED && self.unanswered.len() >= self.machines.min(UNANSWERED)
+    }
+
+    pub fn begin_anew(&mut self, now: Ms) {
+        (self.heard, self.asked) = (now, now);
+        self.in_vain = 0;
+        self.unanswered.clear();
+    }
+
+    pub fn probe(
+        &mut self,
+        timing: &Timing,
+        now: Ms,
+        zone: &ZoneId,
+        machines: &[MachineId],
+        reporting: usize,
+    ) -> Option<Probe> {
+        self.machines = machines.len();
+        let quiet = now.since(self.heard) >= timing.quiet_ms(reporting);
+        // Once something seems wrong, three answers, or none, are wanted soon.
+        let pause = match (reporting, self.in_vain) {
+            (0, 0) => SELDOM_MS,
+            _ => OFTEN_MS,
+        };
+        if machines.is_empty() || !quiet || now.since(self.asked) < pause {
+            return None;
+        }
+        self.asked = now;
+        self.turn += 1;
+        // Far apart in the order: machines that were rented together fall together.
+        let step = machines.len() / 2 + 1;
+        let machine = machines[self.turn.wrapping_mul(step) % machines.len()].clone();
+        Some(Probe { zone: zone.clone(), machine })
+    }
+}
--- /dev/null
+++ b/crates/cleatfold-reach/src/lib.rs
@@ -0,0 +1,96 @@
+//! Reachability: which zones' workers each controller reaches, since when not, by what evidence,
+//! and which controller may therefore be given a share of a zone's machines.
+//!
+//! Hints, all of it: who owns a pool is decided in the state service, under tokens. What is decided
+//! here is only whom it is worth asking. `docs/reachability.md` weighs and argues.
+
+mod contact;
+mod peers;
+mod standing;
+mod strays;
+
+pub use contact::{Contact, Probe, Timing};
+pub use peers::Peers;
+pub use standing::Standing;
+pub use strays::Strays;
+
+use cleatfold_wire::{MachineId, Ms, NodeId, ZoneId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One controller's view of who reaches whom.
+#[derive(Clone, Debug, Default)]
+pub struct Reach {
+    timing: Timing,
+    zones: BTreeMap<ZoneId, Contact>,
+    pub peers: Peers,
+    pub strays: Strays,
+    standing: Standing,
+}
+
+impl Reach {
+    pub fn new(timing: Timing) -> Self {
+        Self { timing, ..Self::default() }
+    }
+
+    /// A worker of the zone has spoken to us, whatever it said.
+    pub fn heard(&mut self, zone: &ZoneId, now: Ms) {
+        match self.zones.get_mut(zone) {
+            Some(contact) => contact.heard(now),
+            None => self.zones.entry(zone.clone()).or_default().heard(now),
+        }
+    }
+
+    /// A question to a machine of the zone was answered, or was not.
+    pub fn probed(&mut self, zone: &ZoneId, machine: &MachineId, answered: bool, now: Ms) {
+        let contact = self.zones.entry(zone.clone()).or_default();
+        if answered {
+            contact.heard(now);
+        } else {
+            contact.unanswered(machine);
+        }
+    }
+
+    /// Which machine should be asked now, if any: of zones that have not been heard of for a while.
+    /// `machines` are a zone's, in any order that stays; `own` says in which zones workers report to us.
+    pub fn probe<'a>(
+        &mut self,
+        now: Ms,
+        zones: impl IntoIterator<Item = (&'a ZoneId, &'a [MachineId], usize)>,
+    ) -> Vec<Probe> {
+        let mut probes = Vec::new();
+        for (zone, machines, own) in zones {
+            let contact = self.zones.entry(zone.clone()).or_default();
+            probes.extend(contact.probe(&self.timing, now, zone, machines, own));
+        }
+        probes
+    }
+
+    /// Zones that we do not reach.
+    pub fn unreached(&self) -> BTreeSet<ZoneId> {
+        self.zones.iter().filter(|(_, c)| c.is_lost()).map(|(z, _)| z.clone()).collect()
+    }
+
+    /// We stood still for so long: our silence says nothing about anybody else.
+    pub fn stood_still(&mut self, now: Ms) {
+        self.zones.values_mut().for_each(|c| c.begin_anew(now));
+        self.peers.forget();
+    }
+
+    /// A zone's workers left a controller that was alive, and another took them over.
+    pub fn left(&mut self, node: &NodeId, zone: &ZoneId, now: Ms) {
+        self.standing.left(node, zone, now);
+    }
+
+    /// The controller says, or we know of ourselves, that it does not reach the zone's workers.
+    pub fn is_cut(&self, me: &NodeId, node: &NodeId, zone: &ZoneId, now: Ms) -> bool {
+        if node == me {
+            return self.zones.get(zone).is_some_and(Contact::is_lost);
+        }
+        self.peers.says_cut(node, zone, now)
+    }
+
+    /// Whether a share of the zone's machines may be given to the controller.
+    pub fn may_hold(&self, me: &NodeId, node: &NodeId, zone: &ZoneId, now: Ms) -> bool {
+        !self.is_cut(me, node, zone, now) && !self.standing.is_shunned(node, zone, now)
+    }
+}
--- a/crates/cleatfold-standin/src/cloud.rs
+++ b/crates/cleatfold-standin/src/cloud.rs
@@ -74,6 +74,7 @@
             .filter(|(_, m)| now.since(m.at) >= self.lag_ms)
             .map(|(id, m)| ListedMachine {
                 id: id.clone(),
+                endpoint: Some(format!("{id}:9000")),
                 machine_type: m.machine_type.clone(),
                 zone: m.zone.clone(),
                 spot: m.spot,
--- a/crates/cleatfold-wire/src/cloud.rs
+++ b/crates/cleatfold-wire/src/cloud.rs
@@ -67,6 +67,9 @@
 pub struct ListedMachine {
     #[serde(rename = "uid")]
     pub id: MachineId,
+    /// Where its worker takes orders.
+    #[serde(default)]
+    pub endpoint: Option<String>,
     #[serde(rename = "gabaritMachine")]
     pub machine_type: TypeId,
     #[serde(rename = "site")]
--- a/crates/cleatfold-wire/src/mesh.rs
+++ b/crates/cleatfold-wire/src/mesh.rs
@@ -25,4 +25,6 @@
     Changed,
     /// The cloud has just rented these: whoever owns their pool need not wait for the list.
     Rented { pool: String, spot: bool, machines: Vec<String> },
+    /// Zones whose workers the sender does not reach.
+    Unreached { zones: Vec<String> },
 }
--- a/crates/cleatfold/src/actor.rs
+++ b/crates/cleatfold/src/actor.rs
@@ -88,7 +88,12 @@
                 let _ = self.cloud.send(cloud::Job { op, request, spacing });
             }
             Effect::Order { machine, endpoint, orders } => {
-                let _ = self.workers.send(workers::Job { machine, endpoint, orders });
+                let what = workers::Call::Orders(orders);
+                let _ = self.workers.send(workers::Job { machine, endpoint, what });
+            }
+            Effect::Probe { machine, endpoint } => {
+                let what = workers::Call::Inspect;
+                let _ = self.workers.send(workers::Job { machine, endpoint, what });
             }
             Effect::Mesh { to, message } => self.send(to, &message),
         }
@@ -135,8 +140,11 @@
         },
     ));
     let to_core = core.clone();
-    tokio::task::spawn_local(workers::run(worker_jobs, move |machine, report| {
-        let _ = to_core.send(Event::Ordered { machine, report });
+    tokio::task::spawn_local(workers::run(worker_jobs, move |machine, told| {
+        let _ = to_core.send(match told {
+            workers::Told::Ordered(report) => Event::Ordered { machine, report },
+            workers::Told::Inspected(answered) => Event::Probed { machine, answered },
+        });
     }));
     let to_core = core.clone();
     tokio::task::spawn_local(mesh::listen(mesh_listener, move |from, message| {
