--- a/docs/days/make.py
+++ b/docs/days/make.py
@@ -9,7 +9,11 @@
 `--machines` multiplies the machines alone, and `--team` lets a team send more or less of the same traffic.
 `day` writes one day. A TROUBLE is `burst:CLASS:TIMES:SECONDS`, `roll`, `kill` (all controllers), `cut`
 (a zone), `half` (half of the machines die), `replaced` (controllers cut off and frozen in turn, machines
-dying) or `calm`. See README.md beside this file for what the days are for.
+dying), `freeze:COUNT:SECONDS` (the busiest), `turns` (each controller frozen in turn), `apart:WHAT:SECONDS:MODE`
+(the busiest cut from `all`, `state` or `workers`; MODE is `hold`, `reset` or, of `state`, `refuse`), `peers:SECONDS`,
+`down:SECONDS`, `busiest` (it is killed), `flood:TIMES:SECONDS` (questions), `broken:SHARE` (of every class's jobs),
+`guest:KIND` (`leftovers`, `huge` or `singles`, of a team that is in no settings file's guarantees), `late:PART` (the
+cloud's list) or `calm`. See README.md beside this file for what the days are for.
 """
 import random
 import re
@@ -72,11 +76,69 @@
                 faults.append(dict(at_s=at + 60 * i, for_s=30.0, **cut))
                 faults.append(dict(at_s=at + 60 * i + 25, kind="node_freeze", count=1, busiest=True, for_s=20.0))
                 faults.append(dict(at_s=at + 60 * i + 5, kind="machine_die", count=max(1, up // 8)))
-        elif kind != "calm":
+        elif kind == "freeze" and len(rest) == 2:
+            faults.append(dict(at_s=at, kind="node_freeze", count=int(rest[0]), busiest=True, for_s=float(rest[1])))
+        elif kind == "turns":
+            for i in range(nodes + 1):
+                faults.append(dict(at_s=at + 35 * i, kind="node_freeze", count=1, busiest=True, for_s=30.0))
+        elif kind == "apart" and len(rest) == 3:
+            part = {"all": {}, "state": {"from_state": True}, "workers": {"from_workers": True}}[rest[0]]
+            faults.append(dict(at_s=at, kind="node_cut", count=1, busiest=True, **part, for_s=float(rest[1]), mode=rest[2]))
+        elif kind == "peers" and len(rest) == 1:
+            faults.append(dict(at_s=at, kind="peers_refuse", for_s=float(rest[0])))
+        elif kind == "down" and len(rest) == 1:
+            faults.append(dict(at_s=at, kind="node_down", count=1, busiest=True, for_s=float(rest[0])))
+        elif kind == "busiest":
+            faults.append(dict(at_s=at + 15, kind="node_crash", count=1, busiest=True))
+        elif kind == "flood" and len(rest) == 2:
+            faults.append(dict(at_s=at, kind="poll_storm", factor=float(rest[0]), for_s=float(rest[1])))
+        elif kind not in ("calm", "broken", "guest", "late"):
             sys.exit(f"no such trouble: {word}\n{__doc__}")
     return faults
 
 
+def guests(site, kind, at):
+    """A guest class: its shape, from the size of the deployment."""
+    cpus_of = {t["name"]: t["cpus"] for t in site["machine_types"]}
+    slots = sum((c["count"] + c["spot"]) * cpus_of[c["type"]] for c in site["capacity"])
+    one = lambda n: f"{{ sizes = [{n}], weights = [1.0] }}"
+    run = lambda s: f"{{ median = {s}, p95 = {s * 1.3}, max = {s * 1.5} }}"
+    shape = {
+        "leftovers": (max(20, int(slots / 30)), 400.0, 2.0, f"{{ start_s = {at - 60} }}, initial = 6"),
+        "huge": (25000, 4.0, 0.25, f"{{ start_s = {at} }}, initial = 1"),
+        "singles": (1, 150.0, 0.25, f"{{ rate = 15.0, start_s = {at}, stop_s = {at + 55} }}"),
+    }
+    tasks, run_s, cpus, comes = shape[kind]
+    return (
+        f'{{ name = "{kind}", kind = "array", priority = "low", teams = ["visitors"], cpus = {cpus}, gpus = 0.0, '
+        f"memory_gb = {cpus * 1.8}, vary = 0.3, spot = true, tasks = {one(tasks)}, run_s = {run(run_s)}, estimate_error = 0.3, "
+        "checkpoint_s = 0.0, save_s = 0.0, images = { count = 1, gb = { median = 0.5, p95 = 0.6, max = 0.8 } }, "
+        f"arrivals = {comes} }}"
+    )
+
+
+def others(site, words):
+    """What of a day is not a fault: broken jobs, guests, a late list."""
+    lines, jobs, broken = [], [], 0.0
+    visits = [w.split(":")[1] for w in words if w.startswith("guest:")]
+    for word in words:
+        kind, *rest = word.split(":")
+        if kind == "broken":
+            broken = float(rest[0])
+        elif kind == "late":
+            lines.append(f"vary = {{ list_lag = {float(rest[0])} }}")
+    residents = [t["name"] for t in site["teams"]]
+    for job in site["jobs"] if broken or visits else []:
+        teams = job.get("teams", residents)
+        jobs.append(f'{{ name = "{job["name"]}", broken = {broken}, teams = {teams} }}'.replace("'", '"'))
+    jobs += [guests(site, kind, 150.0 + 60 * i) for i, kind in enumerate(visits)]
+    if visits:
+        lines.append('teams = [{ name = "visitors", weight = 1.0 }]')
+    if jobs:
+        lines.append("jobs = [\n" + "".join(f"  {j},\n" for j in jobs) + "]")
+    return "".join(line + "\n" for line in lines)
+
+
 def day(source, name):
     site = tomllib.load(open(source, "rb"))
     zones, nodes = site["nodes"]["zones"], site["nodes"]["count"]
@@ -95,8 +157,13 @@
             dict(at_s=at + 10, kind="job_burst", **{"class": classes[0]}, factor=3.0, for_s=40.0),
             dict(at_s=at + 20, kind="spot_taken", share=0.5, notice_s=0.0, over_s=5.0, zone=zones[1]),
         ]
+    extra = ""
+    if name in ("everything", "twice"):
+        extra = others(site, ["broken:0.04", "guest:huge", "late:0.9"])
     if name == "everything":
         faults += [
+            dict(at_s=at + 30, kind="poll_storm", factor=8.0, for_s=60.0),
+            dict(at_s=at + 40, kind="node_freeze", count=1, busiest=True, for_s=lease),
             dict(at_s=at + 70, kind="node_crash", count=nodes, busiest=True),
             dict(at_s=at + 72, kind="machine_hang", count=max(1, up // 4), for_s=lease * 0.8),
         ]
@@ -110,6 +177,9 @@
             lambda: dict(kind="node_cut", count=1, busiest=True, from_state=True, for_s=cancel / 2, mode="hold"),
             lambda: dict(kind="node_cut", count=1, busiest=True, from_workers=True, for_s=lease, mode="hold"),
             lambda: dict(kind="node_freeze", count=1, busiest=True, for_s=lease / 2),
+            lambda: dict(kind="node_cut", count=1, busiest=True, from_state=True, for_s=cancel / 2, mode="refuse"),
+            lambda: dict(kind="node_down", count=1, busiest=True, for_s=lease),
+            lambda: dict(kind="poll_storm", factor=8.0, for_s=40.0),
             lambda: dict(kind="node_roll", every_s=25.0),
             lambda: dict(kind="peers_refuse", for_s=30.0),
             lambda: dict(kind="spot_taken", share=0.3, notice_s=0.0, over_s=20.0, zone=rng.choice(zones)),
@@ -123,10 +193,11 @@
         faults.sort(key=lambda f: f["at_s"])
     if name not in ("everything", "return", "twice"):
         faults = troubles(name, zones, nodes, lease, up)
+        extra = others(site, name.split("+"))
         name = re.sub(r"[^a-z0-9]+", "-", name)
     show = lambda v: str(v).lower() if isinstance(v, bool) else f'"{v}"' if isinstance(v, str) else str(v)
     rows = ["{ " + ", ".join(f"{k} = {show(v)}" for k, v in f.items()) + " }" for f in faults]
-    return f'name = "{name}"\nslot = "scale"\nlight = false\nseed = 200\nfaults = [\n' + "".join(f"  {row},\n" for row in rows) + "]\n"
+    return f'name = "{name}"\nslot = "scale"\nlight = false\nseed = 200\nfaults = [\n' + "".join(f"  {row},\n" for row in rows) + "]\n" + extra
 
 
 def main(args):
