Submissions by team in turn; pools leave an owner only for one that reaches them; long jobs in turn

Found by tests/duties.rs: machines that die are lost first for their owner; the pool went round and each new owner waited anew before it gave them up. It leaves now only for one that has heard of the zone since the owner did. Six long jobs shared a room and none was done: begun ones go first. Not rented for what waits its turn was tried: a small fleet never grew (tests/world.rs); dropped.

--- a/crates/cleatfold-control/src/admission.rs
+++ b/crates/cleatfold-control/src/admission.rs
@@ -44,6 +44,21 @@
     asks: BTreeMap<TeamId, Vec<Asks<Urgency>>>,
 }
 
+/// Work that runs long beside what others ask for.
+#[derive(Debug, Default)]
+pub(crate) struct LongWork {
+    /// What each team's may hold.
+    pub rooms: BTreeMap<TeamId, Room>,
+    /// Jobs that wait for earlier ones of their team.
+    pub later: BTreeSet<JobId>,
+}
+
+impl LongWork {
+    pub fn is_long(&self, spec: &JobSpec) -> bool {
+        self.rooms.get(&spec.team).is_some_and(|r| spec.estimate_s > r.longer_than_s)
+    }
+}
+
 fn work(spec: &JobSpec, tasks: u32) -> f64 {
     let run = if spec.kind == Kind::Service { 0.0 } else { spec.estimate_s };
     f64::from(tasks) * spec.cpus * run
@@ -129,38 +144,59 @@
         if asks.len() < 2 {
             return None;
         }
-        let guaranteed = self.cfg.teams.iter().map(|t| t.cpus);
-        let mean = guaranteed.sum::<f64>() / self.cfg.teams.len().max(1) as f64;
-        let weight = |team: &TeamId| {
-            let guarantee = self.cfg.team(team).map_or(0.0, |t| t.cpus);
-            1.0 + if mean > 0.0 { guarantee / mean } else { 0.0 }
-        };
+        // By heads: a team without a guarantee still has half of its jobs to be served.
+        let weight = |_: &TeamId| 1.0;
         room(asks, weight, capacity, &spec.team, spec.urgency)
     }
 
-    /// Teams of which long work waits, and what that may hold: it leaves room for what comes.
-    pub(crate) fn long_rooms(&self) -> BTreeMap<TeamId, Room> {
-        let mut rooms = BTreeMap::new();
+    /// Teams of which long work waits, and what that may hold: it leaves room for what comes. And of
+    /// each such team the jobs whose turn it is: those that fit into its room together, begun ones
+    /// first. (Six jobs each got a sixth of the room, and none of them was done for ten minutes.)
+    pub(crate) fn long_work(&self) -> LongWork {
+        let mut long = LongWork::default();
         let capacity = self.admission.capacity.back().map_or(0.0, |c| c.1);
         if self.cfg.admission.is_none() {
-            return rooms;
+            return long;
         }
-        for live in self.mirror.jobs.values() {
+        let mut jobs: BTreeMap<&TeamId, Vec<(bool, u64, &JobId, f64)>> = BTreeMap::new();
+        let mut rooms: BTreeMap<(&TeamId, Urgency), Option<Room>> = BTreeMap::new();
+        for (id, live) in &self.mirror.jobs {
             let spec = &live.record.spec;
             let limited = self.cfg.team(&spec.team).is_none_or(|t| t.is_limited());
             let waits = !live.record.aborted && live.unclaimed() > 0;
             if limited || !waits || spec.kind != Kind::Array || live.width().is_some() {
                 continue;
             }
-            if rooms.contains_key(&spec.team) {
+            let room = rooms.entry((&spec.team, spec.urgency));
+            let Some(mut room) = *room.or_insert_with(|| self.room_for(spec, capacity)) else {
+                continue;
+            };
+            if spec.estimate_s <= room.longer_than_s {
                 continue;
             }
-            let room = self.room_for(spec, capacity);
-            if let Some(room) = room.filter(|r| spec.estimate_s > r.longer_than_s && r.part < 1.0) {
-                rooms.insert(spec.team.clone(), room);
+            // What it is promised while it is not served in time, it has in any case.
+            let floor = self.allotted(live).map_or(0.0, |e| e.floor as f64 / 1000.0);
+            room.part = room.part.max(floor / capacity.max(1.0)).min(1.0);
+            let rest = spec.cpus * f64::from(live.unfinished());
+            let begun = live.claimed + live.done > 0;
+            let job = (!begun, live.record.accepted_ms, id, rest);
+            jobs.entry(&spec.team).or_default().push(job);
+            let known = long.rooms.entry(spec.team.clone()).or_insert(room);
+            known.part = known.part.max(room.part);
+        }
+        for (team, mut jobs) in jobs {
+            jobs.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)));
+            let mut left = long.rooms[team].part * capacity;
+            for (i, (new, _, id, rest)) in jobs.into_iter().enumerate() {
+                // Only what fits whole is begun beside others, or all are in the end half done.
+                if i > 0 && (left <= 0.0 || (new && rest > left)) {
+                    long.later.insert(id.clone());
+                } else {
+                    left -= rest;
+                }
             }
         }
-        rooms
+        long
     }
 
     fn note_capacity(&mut self) {
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -87,10 +87,18 @@
         let mut held: BTreeMap<NodeId, f64> =
             self.mirror.nodes.keys().map(|n| (n.clone(), 0.0)).collect();
         let mut orphans = Vec::new();
+        // Pools that have to leave owners that live, and who could have them.
+        let mut leaving: BTreeMap<PoolId, BTreeSet<NodeId>> = BTreeMap::new();
         for pool in &pools {
             match self.mirror.pools.get(pool) {
-                Some(h) if self.live(h) && !self.is_out_of_reach(&h.owner, pool) => {
-                    *held.entry(h.owner.clone()).or_default() += weight(pool);
+                Some(h) if self.live(h) => {
+                    let takers = self.takers(&h.owner, pool);
+                    if takers.is_empty() {
+                        *held.entry(h.owner.clone()).or_default() += weight(pool);
+                    } else {
+                        leaving.insert(pool.clone(), takers);
+                        orphans.push(pool.clone());
+                    }
                 }
                 _ => orphans.push(pool.clone()),
             }
@@ -101,7 +109,10 @@
         for pool in orphans {
             // Where nobody reaches the zone, one is as good as another.
             let anyone = self.mirror.nodes.keys().any(|n| self.may_hold(n, &pool.zone));
-            let can = |n: &NodeId| !anyone || self.may_hold(n, &pool.zone);
+            let can = |n: &NodeId| match leaving.get(&pool) {
+                Some(takers) => takers.contains(n),
+                None => !anyone || self.may_hold(n, &pool.zone),
+            };
             // One pool, however large, has to be with someone.
             let light = |n: &NodeId, most: f64| {
                 can(n)
@@ -235,6 +246,7 @@
             }
         }
         let queue = self.queue();
+        let long = self.long_work();
         let mut assigned: Vec<(String, Vec<u16>)> = Vec::new();
         for Queued { job: id, tasks: unclaimed, growth } in &queue {
             let Some(live) = self.mirror.jobs.get(id) else {
@@ -254,8 +266,11 @@
                 .collect();
             let spec = &live.record.spec;
             let work = spec.estimate_s.max(1.0) * spec.cpus * f64::from(*unclaimed);
-            // Replicas and spread jobs need more zones than one.
-            let k = if spec.kind == Kind::Service || spec.spread {
+            // Replicas and spread jobs need more zones than one. Of long work only a part of each
+            // pool may be used, so it goes to all of them.
+            let k = if long.is_long(spec) {
+                pools.len()
+            } else if spec.kind == Kind::Service || spec.spread {
                 self.cfg.k.max(4)
             } else {
                 self.cfg.k
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -26,6 +26,7 @@
 mod schedule;
 mod shrink;
 mod steps;
+mod submissions;
 mod workers;
 
 pub use config::{Aim, AimKind, Config, Team};
--- a/crates/cleatfold-control/src/news.rs
+++ b/crates/cleatfold-control/src/news.rs
@@ -24,17 +24,17 @@
         while self.pace.open() {
             let due = if self.loaded { self.weightiest() } else { None };
             // Submissions first, but a flood of them leaves the jobs every other change.
-            if self.ahead == 0 || due.is_none() {
+            if self.submitting.ahead == 0 || due.is_none() {
                 let sent = self.flush_submissions();
                 if sent > 0 {
                     // Only what went ahead of a job that waited is owed to the jobs. (Counted
                     // while none waited, a busy hour's submissions would have held up later ones.)
-                    self.ahead += if due.is_some() { sent } else { 0 };
+                    self.submitting.ahead += if due.is_some() { self.owed(sent) } else { 0 };
                     continue;
                 }
             }
             let Some(job) = due else { return };
-            self.ahead = self.ahead.saturating_sub(1);
+            self.submitting.ahead = self.submitting.ahead.saturating_sub(1);
             self.send_job_tx(job);
         }
     }
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -14,7 +14,7 @@
 use cleatfold_wire::steps::StepReport;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A call to the state service or the cloud that has no answer yet.
 #[derive(Debug)]
@@ -133,8 +133,6 @@
     pub(crate) flush_due: bool,
     /// Jobs that may have something to be recorded.
     pub(crate) unsent: BTreeSet<JobId>,
-    /// Changes that submissions were ahead of the jobs' own.
-    pub(crate) ahead: usize,
     /// The state service's content was known to us as of this moment.
     pub(crate) fresh: Option<Ms>,
     /// The last call that the state service failed to answer.
@@ -154,8 +152,7 @@
     pub(crate) dealt: BTreeMap<PoolId, Ms>,
 
     pub(crate) locals: BTreeMap<JobId, Local>,
-    pub(crate) submissions: VecDeque<Submission>,
-    pub(crate) submit_inflight: bool,
+    pub(crate) submitting: crate::submissions::Submitting,
     pub(crate) waiting: Vec<Waiting>,
     pub(crate) terminal: crate::requests::Terminal,
     pub(crate) archive: crate::archive::Lookups,
@@ -213,7 +210,6 @@
             pace: Default::default(),
             flush_due: false,
             unsent: BTreeSet::new(),
-            ahead: 0,
             fresh: None,
             store_failed: None,
             lease: None,
@@ -228,8 +224,7 @@
             deal_settled: Ms(0),
             dealt: BTreeMap::new(),
             locals: BTreeMap::new(),
-            submissions: VecDeque::new(),
-            submit_inflight: false,
+            submitting: Default::default(),
             waiting: Vec::new(),
             terminal: Default::default(),
             archive: Default::default(),
@@ -684,10 +679,7 @@
                     self.note_rented(&pool, spot, machines);
                 }
             }
-            Message::Unreached { zones } => {
-                let zones = zones.into_iter().map(ZoneId::new).collect();
-                self.reach.view.peers.unreached(&from, zones, self.now);
-            }
+            Message::Hears { zones } => self.on_hears(&from, zones),
             Message::Assign { pools, jobs } => self.on_assign(&from, pools, jobs),
             Message::Promises { pool, token, promises } => {
                 let Some(pool) = PoolId::parse(&pool) else {
--- a/crates/cleatfold-control/src/reach.rs
+++ b/crates/cleatfold-control/src/reach.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::effects::Effect;
 use crate::node::Node;
-use cleatfold_reach::{Reach, Timing};
+use cleatfold_reach::{Hears, Reach, Timing};
 use cleatfold_wire::cloud::MachineState;
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::*;
@@ -16,8 +16,8 @@
     pub view: Reach,
     looked: Ms,
     told: Ms,
-    /// What was told last.
-    unreached: BTreeSet<ZoneId>,
+    /// Zones that we do not reach, as we last saw.
+    lost: BTreeSet<ZoneId>,
     /// Who held each pool when we last looked.
     holders: BTreeMap<PoolId, NodeId>,
     /// To whom we have dealt pools ourselves.
@@ -30,7 +30,7 @@
             view: Reach::new(Timing { report_ms: cfg.report_ms }),
             looked: Ms(0),
             told: Ms(0),
-            unreached: BTreeSet::new(),
+            lost: BTreeSet::new(),
             holders: BTreeMap::new(),
             dealt: BTreeMap::new(),
         }
@@ -67,19 +67,29 @@
                 self.out.push(Effect::Probe { machine: probe.machine, endpoint });
             }
         }
-        let unreached = self.reach.view.unreached();
-        let changed = unreached != self.reach.unreached;
+        let lost: BTreeSet<ZoneId> =
+            self.reach.view.hears().filter(|(_, h)| h.lost).map(|(z, _)| z.clone()).collect();
+        let changed = lost != self.reach.lost;
         if changed {
-            tracing::info!(zones = ?unreached, "workers not reached");
-            self.reach.unreached = unreached;
+            tracing::info!(zones = ?lost, "workers not reached");
+            self.reach.lost = lost;
         }
-        if changed || (!self.reach.unreached.is_empty() && self.now.since(self.reach.told) > 1000) {
+        if changed || self.now.since(self.reach.told) >= 1000 {
             self.reach.told = self.now;
-            let zones = self.reach.unreached.iter().map(|z| z.to_string()).collect();
-            self.tell(None, Message::Unreached { zones });
+            let told = |(z, h): (&ZoneId, Hears)| (z.to_string(), self.now.since(h.at), h.lost);
+            let zones = self.reach.view.hears().map(told).collect();
+            self.tell(None, Message::Hears { zones });
         }
     }
 
+    pub(crate) fn on_hears(&mut self, from: &NodeId, zones: Vec<(String, u64, bool)>) {
+        let now = self.now;
+        let hears = |age_ms, lost| Hears { at: Ms(now.0.saturating_sub(age_ms)), lost };
+        let zones =
+            zones.into_iter().map(|(z, age_ms, lost)| (ZoneId::new(z), hears(age_ms, lost)));
+        self.reach.view.peers.hears(from, zones.collect(), now);
+    }
+
     pub(crate) fn on_probed(&mut self, machine: MachineId, answered: bool) {
         if let Some(m) = self.fleet.machines.get(&machine) {
             self.reach.view.probed(&m.pool.zone, &machine, answered, self.now);
@@ -123,9 +133,10 @@
         self.reach.view.may_hold(&self.cfg.me, node, zone, self.now)
     }
 
-    /// Its owner does not reach the pool's workers, and another controller would.
-    pub(crate) fn is_out_of_reach(&self, owner: &NodeId, pool: &PoolId) -> bool {
-        self.reach.view.is_cut(&self.cfg.me, owner, &pool.zone, self.now)
-            && self.mirror.nodes.keys().any(|n| n != owner && self.may_hold(n, &pool.zone))
+    /// Controllers that reach the pool's workers where its owner, that lives, does not.
+    pub(crate) fn takers(&self, owner: &NodeId, pool: &PoolId) -> BTreeSet<NodeId> {
+        let (view, me) = (&self.reach.view, &self.cfg.me);
+        let takes = |n: &&NodeId| view.reaches_instead(me, n, owner, &pool.zone, self.now);
+        self.mirror.nodes.keys().filter(takes).cloned().collect()
     }
 }
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -13,7 +13,7 @@
 use cleatfold_wire::job::Kind;
 use cleatfold_wire::mesh::{Message, Promise};
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Reservations per pool and planning. What lies beyond waits unreserved.
 const CHUNKS: usize = 400;
@@ -96,10 +96,10 @@
             .collect();
         let mut plans = Vec::new();
         let by_pool = self.fleet.by_pool();
-        let rooms = self.long_rooms();
+        let long = self.long_work();
         for (pool, token) in pools {
             let members = by_pool.get(&pool).map(Vec::as_slice).unwrap_or_default();
-            let mut binding = self.binding_limits(&pool, members.len(), usage, &rooms);
+            let mut binding = self.binding_limits(&pool, members.len(), usage, &long.rooms);
             let (machines, mut charts) = self.charts(&pool, token, members, &mut binding);
             if machines.is_empty() {
                 continue;
@@ -116,7 +116,7 @@
                 requests: Vec::new(),
                 reservations: Vec::new(),
             };
-            self.requests_for(&mut plan, queue, &binding);
+            self.requests_for(&mut plan, queue, &binding, &long.later);
             plan.reservations =
                 cleatfold_plan::plan(&mut charts, &mut limits, &plan.requests, CHUNKS);
             plans.push(plan);
@@ -263,13 +263,19 @@
             && live.each.within(&self.fleet.total(&pool.machine_type))
     }
 
-    fn requests_for(&self, plan: &mut PoolPlan, queue: &[Queued], limited: &[Binding]) {
+    fn requests_for(
+        &self,
+        plan: &mut PoolPlan,
+        queue: &[Queued],
+        limited: &[Binding],
+        later: &BTreeSet<JobId>,
+    ) {
         let pool = &plan.pool;
         for Queued { job: id, tasks: unclaimed, growth } in queue {
             let Some(live) = self.mirror.jobs.get(id) else {
                 continue;
             };
-            if !self.may_use(live, pool) {
+            if !self.may_use(live, pool) || later.contains(id) {
                 continue;
             }
             let local = self.locals.get(id);
--- a/crates/cleatfold-door/src/lib.rs
+++ b/crates/cleatfold-door/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod class;
 mod desk;
+mod intake;
 mod pressure;
 mod retry;
 mod seats;
 
 pub use class::Class;
 pub use desk::Desk;
+pub use intake::Intake;
 pub use pressure::{Level, Pressure};
 pub use retry::{Backoff, Breaker, RetryBudget};
 pub use seats::{Seat, SeatId, Seats};
--- a/crates/cleatfold-reach/src/contact.rs
+++ b/crates/cleatfold-reach/src/contact.rs
@@ -66,6 +66,10 @@
         self.unanswered.insert(machine.clone());
     }
 
+    pub fn heard_at(&self) -> Ms {
+        self.heard
+    }
+
     pub fn is_lost(&self) -> bool {
         self.in_vain >= UNANSWERED && self.unanswered.len() >= self.machines.min(UNANSWERED)
     }
@@ -83,12 +87,14 @@
         zone: &ZoneId,
         machines: &[MachineId],
         reporting: usize,
+        doubted: bool,
     ) -> Option<Probe> {
         self.machines = machines.len();
-        let quiet = now.since(self.heard) >= timing.quiet_ms(reporting);
+        // Whether it is the machines or whoever lost them is for the others to say, soon.
+        let quiet = doubted || now.since(self.heard) >= timing.quiet_ms(reporting);
         // Once something seems wrong, three answers, or none, are wanted soon.
         let pause = match (reporting, self.in_vain) {
-            (0, 0) => SELDOM_MS,
+            (0, 0) if !doubted => SELDOM_MS,
             _ => OFTEN_MS,
         };
         if machines.is_empty() || !quiet || now.since(self.asked) < pause {
--- a/crates/cleatfold-reach/src/lib.rs
+++ b/crates/cleatfold-reach/src/lib.rs
@@ -10,12 +10,16 @@
 mod strays;
 
 pub use contact::{Contact, Probe, Timing};
-pub use peers::Peers;
+pub use peers::{Hears, Peers};
 pub use standing::Standing;
 pub use strays::Strays;
 
 use cleatfold_wire::{MachineId, Ms, NodeId, ZoneId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+
+/// Who has heard of a zone so much later than its owner reaches what that does not. Covers the way
+/// of what they tell, and clocks.
+const SINCE_MS: u64 = 1_500;
 
 /// One controller's view of who reaches whom.
 #[derive(Clone, Debug, Default)]
@@ -59,15 +63,16 @@
     ) -> Vec<Probe> {
         let mut probes = Vec::new();
         for (zone, machines, own) in zones {
+            let doubted = self.peers.someone_lost(zone, now);
             let contact = self.zones.entry(zone.clone()).or_default();
-            probes.extend(contact.probe(&self.timing, now, zone, machines, own));
+            probes.extend(contact.probe(&self.timing, now, zone, machines, own, doubted));
         }
         probes
     }
 
-    /// Zones that we do not reach.
-    pub fn unreached(&self) -> BTreeSet<ZoneId> {
-        self.zones.iter().filter(|(_, c)| c.is_lost()).map(|(z, _)| z.clone()).collect()
+    /// What we hear of each zone's workers.
+    pub fn hears(&self) -> impl Iterator<Item = (&ZoneId, Hears)> {
+        self.zones.iter().map(|(z, c)| (z, Hears { at: c.heard_at(), lost: c.is_lost() }))
     }
 
     /// We stood still for so long: our silence says nothing about anybody else.
@@ -81,16 +86,37 @@
         self.standing.left(node, zone, now);
     }
 
-    /// The controller says, or we know of ourselves, that it does not reach the zone's workers.
-    pub fn is_cut(&self, me: &NodeId, node: &NodeId, zone: &ZoneId, now: Ms) -> bool {
+    fn of_zone(&self, me: &NodeId, node: &NodeId, zone: &ZoneId, now: Ms) -> Option<Hears> {
         if node == me {
-            return self.zones.get(zone).is_some_and(Contact::is_lost);
+            let contact = self.zones.get(zone);
+            return contact.map(|c| Hears { at: c.heard_at(), lost: c.is_lost() });
         }
-        self.peers.says_cut(node, zone, now)
+        self.peers.of_zone(node, zone, now)
     }
 
     /// Whether a share of the zone's machines may be given to the controller.
     pub fn may_hold(&self, me: &NodeId, node: &NodeId, zone: &ZoneId, now: Ms) -> bool {
-        !self.is_cut(me, node, zone, now) && !self.standing.is_shunned(node, zone, now)
+        let lost = self.of_zone(me, node, zone, now).is_some_and(|h| h.lost);
+        !lost && !self.standing.is_shunned(node, zone, now)
+    }
+
+    /// Whether `other` reaches the zone's workers where `owner`, a live controller, does not: it has heard of
+    /// them since the owner last did. (Machines that have died are lost for everybody, first for
+    /// their owner, who asks first: their pools went round, and each new owner waited anew before it
+    /// gave them up.)
+    pub fn reaches_instead(
+        &self,
+        me: &NodeId,
+        other: &NodeId,
+        owner: &NodeId,
+        zone: &ZoneId,
+        now: Ms,
+    ) -> bool {
+        let Some(lost) = self.of_zone(me, owner, zone, now).filter(|h| h.lost) else {
+            return false;
+        };
+        let heard = self.of_zone(me, other, zone, now);
+        let since = heard.is_some_and(|h| !h.lost && h.at > lost.at.plus(SINCE_MS));
+        since && other != owner && self.may_hold(me, other, zone, now)
     }
 }
--- a/crates/cleatfold-reach/src/peers.rs
+++ b/crates/cleatfold-reach/src/peers.rs
@@ -1,7 +1,7 @@
 //! What is heard of the other controllers, and what they say of themselves.
 
 use cleatfold_wire::{Ms, NodeId, ZoneId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// What a peer says of itself is forgotten after so long.
 const SAID_MS: u64 = 6_000;
@@ -14,8 +14,17 @@
     contact: Option<Ms>,
     /// When anything last came from it.
     heard: Option<Ms>,
-    /// Zones that it says it does not reach, and when it said so.
-    unreached: Option<(Ms, BTreeSet<ZoneId>)>,
+    /// What it says of the zones, and when it said so.
+    zones: Option<(Ms, BTreeMap<ZoneId, Hears>)>,
+}
+
+/// What a controller hears of one zone's workers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Hears {
+    /// When it last heard of any, on the steady clock of whoever keeps this.
+    pub at: Ms,
+    /// It has asked them in vain since.
+    pub lost: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -40,8 +49,8 @@
         self.peer(node).contact = Some(at);
     }
 
-    pub fn unreached(&mut self, node: &NodeId, zones: BTreeSet<ZoneId>, now: Ms) {
-        self.peer(node).unreached = Some((now, zones));
+    pub fn hears(&mut self, node: &NodeId, zones: BTreeMap<ZoneId, Hears>, now: Ms) {
+        self.peer(node).zones = Some((now, zones));
     }
 
     pub fn heard(&self, node: &NodeId) -> Option<Ms> {
@@ -53,10 +62,15 @@
         self.peers.values().any(|p| p.contact.is_some_and(|c| now.since(c) < READS_MS))
     }
 
-    /// It has said lately that it does not reach the zone's workers.
-    pub fn says_cut(&self, node: &NodeId, zone: &ZoneId, now: Ms) -> bool {
-        let said = self.peers.get(node).and_then(|p| p.unreached.as_ref());
-        said.is_some_and(|(at, zones)| now.since(*at) <= SAID_MS && zones.contains(zone))
+    /// What it has said lately of the zone's workers.
+    pub fn of_zone(&self, node: &NodeId, zone: &ZoneId, now: Ms) -> Option<Hears> {
+        let (at, zones) = self.peers.get(node)?.zones.as_ref()?;
+        zones.get(zone).filter(|_| now.since(*at) <= SAID_MS).copied()
+    }
+
+    /// Some peer has lost the zone's workers.
+    pub fn someone_lost(&self, zone: &ZoneId, now: Ms) -> bool {
+        self.peers.keys().any(|n| self.of_zone(n, zone, now).is_some_and(|h| h.lost))
     }
 
     /// We stood still: what they said before that is old.
--- a/crates/cleatfold-wire/src/mesh.rs
+++ b/crates/cleatfold-wire/src/mesh.rs
@@ -25,6 +25,7 @@
     Changed,
     /// The cloud has just rented these: whoever owns their pool need not wait for the list.
     Rented { pool: String, spot: bool, machines: Vec<String> },
-    /// Zones whose workers the sender does not reach.
-    Unreached { zones: Vec<String> },
+    /// By zone: how long ago the sender heard of any of its workers, and whether it has asked them in
+    /// vain since.
+    Hears { zones: Vec<(String, u64, bool)> },
 }
