--- a/crates/cleatfold-reach/tests/reach.rs
+++ b/crates/cleatfold-reach/tests/reach.rs
@@ -36,7 +36,7 @@
             let now = self.now;
             for i in 0..NODES {
                 let reports = i == 0 && (0..MACHINES).any(|m| reached(0, m));
-                if reports && now.0 % 1000 == 0 {
+                if reports && now.0.is_multiple_of(1000) {
                     self.views[i].heard(&zone, now);
                 }
                 let own = if i == 0 { MACHINES } else { 0 };
@@ -45,7 +45,7 @@
                     let at = machines.iter().position(|m| *m == probe.machine).unwrap();
                     self.views[i].probed(&zone, &probe.machine, reached(i, at), now);
                 }
-                if now.0 % 1000 == 0 {
+                if now.0.is_multiple_of(1000) {
                     let told: BTreeMap<ZoneId, Hears> =
                         self.views[i].hears().map(|(z, h)| (z.clone(), h)).collect();
                     for j in (0..NODES).filter(|j| *j != i) {
