Read through: standing, waiting jobs and shared lookups each worked out once

No change of behaviour. A job's failures are gathered once for a claim and for its answer; who waits is listed once for all of an owner's pools instead of twice a pool; nothing to start is not asked about. News::is_all and Demand::asks stand for conditions written twice; Room::is_long for three. The limits' three look-ups by one key are one closure; the test's own submit() was the world's.

--- a/crates/cleatfold-admission/src/decide.rs
+++ b/crates/cleatfold-admission/src/decide.rs
@@ -38,6 +38,13 @@
     pub waiting: f64,
 }
 
+impl Demand {
+    /// Processors that serve all that comes, and all that waits within its patience.
+    fn asks(&self) -> f64 {
+        self.rate + self.waiting / self.patience_s.max(1.0)
+    }
+}
+
 impl Small {
     /// Processors that serve those that come, and those that wait within twice their patience.
     fn need(&self, of: &Demand) -> f64 {
@@ -201,7 +208,7 @@
     let mut teams: BTreeMap<&TeamId, (f64, f64)> = BTreeMap::new();
     for g in &view.groups {
         let team = teams.entry(&g.group.team).or_default();
-        team.0 += g.rate + g.waiting / g.patience_s.max(1.0);
+        team.0 += g.asks();
         team.1 = g.guarantee;
         if g.limit > 0.0 {
             team.0 = team.0.min(g.limit);
@@ -239,7 +246,7 @@
     raise(&mut floors, most, within);
     raise(&mut floors, most, must.iter().copied());
     floors.truncate(pressed.len());
-    let others: f64 = served.iter().map(|g| g.rate + g.waiting / g.patience_s.max(1.0)).sum();
+    let others: f64 = served.iter().map(|g| g.asks()).sum();
     raise(
         &mut floors,
         most.min(view.capacity - others),
--- a/crates/cleatfold-admission/src/room.rs
+++ b/crates/cleatfold-admission/src/room.rs
@@ -32,11 +32,17 @@
     pub part: f64,
 }
 
+impl Room {
+    pub fn is_long(&self, run_s: f64) -> bool {
+        run_s > self.longer_than_s
+    }
+}
+
 /// The room of a team's long work of this urgency; none: nobody else asks for anything that it could
-/// hold up. `weights` are the teams', by their guarantees; `capacity` in processors.
+/// hold up. `capacity` in processors. Teams count by heads: one without a guarantee still has half of its
+/// jobs to be served.
 pub fn room<T: Ord, U: Ord + Copy>(
     asks: &BTreeMap<T, Vec<Asks<U>>>,
-    weights: impl Fn(&T) -> f64,
     capacity: f64,
     team: &T,
     urgency: U,
@@ -53,8 +59,7 @@
     let run_s = others.iter().map(|o| o.1.rate * o.1.run_s).sum::<f64>() / rate;
     let mut teams: Vec<&T> = others.iter().map(|o| o.0).collect();
     teams.dedup();
-    let mine = weights(team);
-    let even = mine / (mine + teams.into_iter().map(&weights).sum::<f64>());
+    let even = 1.0 / (1 + teams.len()) as f64;
     let left = 1.0 - SPARE * rate / capacity;
     Some(Room { longer_than_s: LONG * run_s, part: left.max(even).min(1.0) })
 }
--- a/crates/cleatfold-control/src/admission.rs
+++ b/crates/cleatfold-control/src/admission.rs
@@ -11,7 +11,7 @@
 use crate::node::{Node, Pending};
 use crate::records::*;
 use cleatfold_admission::meter::Spread;
-use cleatfold_admission::room::{room, Asks, Room};
+use cleatfold_admission::room::{Asks, Room};
 use cleatfold_admission::{decide, Allotment, Demand, Entry, Group, Judge, Meter, Small, View};
 use cleatfold_duties::Duty;
 use cleatfold_wire::job::{JobSpec, Kind, Urgency};
@@ -55,7 +55,7 @@
 
 impl LongWork {
     pub fn is_long(&self, spec: &JobSpec) -> bool {
-        self.rooms.get(&spec.team).is_some_and(|r| spec.estimate_s > r.longer_than_s)
+        self.rooms.get(&spec.team).is_some_and(|r| r.is_long(spec.estimate_s))
     }
 }
 
@@ -138,22 +138,12 @@
         }
     }
 
-    /// What long work like this job's may hold of a region of so many processors.
-    fn room_for(&self, spec: &JobSpec, capacity: f64) -> Option<Room> {
-        let asks = &self.admission.asks;
-        if asks.len() < 2 {
-            return None;
-        }
-        // By heads: a team without a guarantee still has half of its jobs to be served.
-        let weight = |_: &TeamId| 1.0;
-        room(asks, weight, capacity, &spec.team, spec.urgency)
-    }
-
     /// Teams of which long work waits, and what that may hold: it leaves room for what comes. And of
     /// each such team the jobs whose turn it is: those that fit into its room together, begun ones
     /// first. (Six jobs each got a sixth of the room, and none of them was done for ten minutes.)
     pub(crate) fn long_work(&self) -> LongWork {
         let mut long = LongWork::default();
+        let asks = &self.admission.asks;
         let capacity = self.admission.capacity.back().map_or(0.0, |c| c.1);
         if self.cfg.admission.is_none() {
             return long;
@@ -168,12 +158,10 @@
                 continue;
             }
             let room = rooms.entry((&spec.team, spec.urgency));
-            let Some(mut room) = *room.or_insert_with(|| self.room_for(spec, capacity)) else {
-                continue;
-            };
-            if spec.estimate_s <= room.longer_than_s {
-                continue;
-            }
+            let known = *room.or_insert_with(|| {
+                cleatfold_admission::room::room(asks, capacity, &spec.team, spec.urgency)
+            });
+            let Some(mut room) = known.filter(|r| r.is_long(spec.estimate_s)) else { continue };
             // What it is promised while it is not served in time, it has in any case.
             let floor = self.allotted(live).map_or(0.0, |e| e.floor as f64 / 1000.0);
             room.part = room.part.max(floor / capacity.max(1.0)).min(1.0);
--- a/crates/cleatfold-control/src/blame.rs
+++ b/crates/cleatfold-control/src/blame.rs
@@ -4,7 +4,6 @@
 use crate::mirror::Live;
 use crate::node::Node;
 use cleatfold_blame::{pause_ms, standing, Failure, Standing, Word};
-use cleatfold_plan::Request;
 use cleatfold_wire::job::{JobState, Kind};
 use cleatfold_wire::*;
 use std::collections::BTreeSet;
@@ -28,28 +27,30 @@
     /// What is to be thought of a job, if anything of it has failed.
     fn standing(&self, id: &JobId, live: &Live, local: Option<&Local>) -> Option<Standing> {
         let failures = self.failures(id, local);
-        if failures.is_empty() {
-            return None;
-        }
+        (!failures.is_empty()).then(|| self.judged(&failures, live, local))
+    }
+
+    fn judged(&self, failures: &[Failure], live: &Live, local: Option<&Local>) -> Standing {
         let done = live.done + local.map_or(0, |l| l.ends.iter().filter(|e| e.done).count() as u32);
-        let faulty = |id: &MachineId| self.fleet.machines.get(id).is_some_and(|m| m.faulty);
-        Some(standing(&failures, done, faulty, self.wall_ms))
+        standing(failures, done, |id| self.is_faulty(id), self.wall_ms)
     }
 
     /// How many of `tasks` that wait may be planned and rented for now. What pauses waits for its
     /// turn or its user: it holds no place, nothing is rented for it, and no idle machine kept.
     pub(crate) fn may_start(&self, id: &JobId, live: &Live, tasks: u32) -> u32 {
-        let local = self.locals.get(id);
-        let Some(standing) = self.standing(id, live, local) else { return tasks };
+        if tasks == 0 {
+            return 0;
+        }
+        let standing = self.standing(id, live, self.locals.get(id));
+        standing.map_or(tasks, |s| self.startable(&s, live, tasks))
+    }
+
+    fn startable(&self, standing: &Standing, live: &Live, tasks: u32) -> u32 {
         let may = standing.may_start(tasks, live.claimed, self.wall_ms);
+        let pauses = matches!(standing, Standing::Sound { pausing } if !pausing.is_empty());
         match live.record.spec.kind {
             // Whole or not at all.
-            Kind::Gang
-                if may > 0
-                    && !matches!(&standing, Standing::Sound { pausing } if !pausing.is_empty()) =>
-            {
-                tasks
-            }
+            Kind::Gang if may > 0 && !pauses => tasks,
             Kind::Gang => 0,
             _ => may,
         }
@@ -57,10 +58,14 @@
 
     /// The tasks that must not be claimed now, and how many may be of the others.
     pub(crate) fn claimable(&self, id: &JobId, live: &Live) -> (BTreeSet<TaskIx>, u32) {
-        let most = self.may_start(id, live, live.record.spec.tasks);
-        match self.standing(id, live, self.locals.get(id)) {
-            Some(Standing::Sound { pausing }) => (pausing, most),
-            _ => (BTreeSet::new(), most),
+        let tasks = live.record.spec.tasks;
+        let Some(standing) = self.standing(id, live, self.locals.get(id)) else {
+            return (BTreeSet::new(), tasks);
+        };
+        let most = self.startable(&standing, live, tasks);
+        match standing {
+            Standing::Sound { pausing } => (pausing, most),
+            Standing::Suspect { .. } => (BTreeSet::new(), most),
         }
     }
 
@@ -70,17 +75,19 @@
             && matches!(self.standing(id, live, None), Some(Standing::Suspect { .. }))
     }
 
-    /// Machines of a plan that a job should not be tried on again: those that it failed on, unless
-    /// that is all of them.
-    pub(crate) fn avoided(&self, id: &JobId, machines: &[MachineId], request: &mut Request) {
+    /// Machines of a plan (by index) that a job should not be tried on again: those that it failed
+    /// on, unless that is all of them.
+    pub(crate) fn avoided(&self, id: &JobId, machines: &[MachineId]) -> Vec<usize> {
         let failures = self.failures(id, self.locals.get(id));
-        if failures.is_empty() {
-            return;
-        }
         let failed = |m: &MachineId| failures.iter().any(|f| f.machine == *m);
-        request.avoid = (0..machines.len()).filter(|&i| failed(&machines[i])).collect();
-        if request.avoid.len() == machines.len() {
-            request.avoid.clear();
+        let avoid: Vec<usize> = match failures.is_empty() {
+            true => vec![],
+            false => (0..machines.len()).filter(|&i| failed(&machines[i])).collect(),
+        };
+        if avoid.len() < machines.len() {
+            avoid
+        } else {
+            vec![]
         }
     }
 
@@ -99,7 +106,7 @@
             failures.len(),
             machines.len()
         );
-        if let Some(Standing::Suspect { until_ms }) = self.standing(id, live, local) {
+        if let Standing::Suspect { until_ms } = self.judged(&failures, live, local) {
             let next = until_ms.saturating_sub(self.wall_ms) / 1000;
             why += &format!("; it fails wherever it runs, next try in {next} s");
         }
@@ -139,8 +146,7 @@
 
     fn word(&self, machine: &MachineId, job: &JobId, task: TaskIx) -> Word {
         let Some(live) = self.mirror.jobs.get(job) else {
-            let done = |s: cleatfold_wire::job::JobStatus| s.state == JobState::Done;
-            let done = self.terminal.get(job).is_some_and(done);
+            let done = self.terminal.get(job).is_some_and(|s| s.state == JobState::Done);
             return if done { Word::WorksElsewhere } else { Word::NoEvidence };
         };
         let local = self.locals.get(job);
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -245,9 +245,6 @@
                 void.push(end.clone());
             }
         }
-        // What no longer stands in the record was settled by someone else.
-        local.ends.retain(|e| !void.contains(e));
-
         let mut steps = Judged::default();
         let known = self.mirror.progress.get(job);
         if let Some(progress) = self.mirror.progress_of(job) {
@@ -364,9 +361,11 @@
                 done += 1;
                 ended.push(end);
             } else {
-                local.ends.retain(|e| *e != end);
+                void.push(end);
             }
         }
+        // What no longer stands in the record was settled by someone else.
+        local.ends.retain(|e| !void.contains(e));
         if local.abort && !record.aborted && done < record.spec.tasks {
             record.aborted = true;
             head_changed = true;
--- a/crates/cleatfold-control/src/leader.rs
+++ b/crates/cleatfold-control/src/leader.rs
@@ -6,6 +6,7 @@
 use crate::effects::*;
 use crate::fleet::Machine;
 use crate::jobs::End;
+use crate::mirror::Live;
 use crate::node::{Node, Pending};
 use crate::queue::Queued;
 use crate::records::*;
@@ -462,13 +463,21 @@
         let idle_limit = (self.cfg.idle_return_s * 1000.0) as u64;
         let mut pools: BTreeMap<PoolId, OwnPool> = BTreeMap::new();
         let rooms = self.team_rooms(|_| 1.0);
+        // The same for every pool.
+        let waiting: Vec<&Live> = self
+            .mirror
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.record.aborted && j.unclaimed() > 0)
+            .filter(|(id, j)| self.may_start(id, j, 1) > 0)
+            .map(|(_, j)| j)
+            .collect();
         for (pool, &(token, since)) in &self.owned_since {
             let useful = |spot: bool| {
                 let mut teams: BTreeMap<&TeamId, f64> = BTreeMap::new();
-                for (id, j) in &self.mirror.jobs {
+                for j in &waiting {
                     let spec = &j.record.spec;
-                    let waits = !j.record.aborted && j.unclaimed() > 0 && (!spot || spec.spot);
-                    if !waits || !self.may_use(j, pool) || self.may_start(id, j, 1) == 0 {
+                    if (spot && !spec.spot) || !self.may_use(j, pool) {
                         continue;
                     }
                     // What waits for its team's limit alone keeps no idle machine. (Hundreds
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -5,8 +5,8 @@
 
 mod admission;
 mod archive;
-pub mod blame;
-mod config;
+mod blame;
+pub mod config;
 mod duties;
 pub mod effects;
 mod fleet;
--- a/crates/cleatfold-control/src/limits.rs
+++ b/crates/cleatfold-control/src/limits.rs
@@ -144,7 +144,7 @@
     fn long_usage(&self, team: &TeamId, room: &Room, pool: &PoolId) -> i64 {
         let long = |live: &&Live| {
             let spec = &live.record.spec;
-            spec.team == *team && spec.estimate_s > room.longer_than_s
+            spec.team == *team && room.is_long(spec.estimate_s)
         };
         let mut used = 0;
         for (id, live) in self.mirror.jobs.iter().filter(|(_, l)| long(l)) {
@@ -283,24 +283,13 @@
             let mut new = record.clone();
             let mut txn = Txn::default();
             for (pool, token, capacity) in &own {
-                let used =
-                    usage.get(&(team.name.clone(), pool.clone())).copied().unwrap_or_default();
-                let asked = self
-                    .limits
-                    .short
-                    .get(&(team.name.clone(), pool.clone()))
-                    .copied()
-                    .unwrap_or_default();
-                let soon = self
-                    .limits
-                    .soon
-                    .get(&(team.name.clone(), pool.clone()))
-                    .copied()
-                    .unwrap_or_default();
+                let key = (team.name.clone(), pool.clone());
+                let of = |amounts: &Usage| amounts.get(&key).copied().unwrap_or_default();
+                let wants = (of(&usage), of(&self.limits.short), of(&self.limits.soon));
                 let old = record.pools.get(pool).copied().unwrap_or_default();
                 let part = (
-                    resize(old.0, (used, asked, soon), *capacity, &mut free.0, max, |r| r.cpus),
-                    resize(old.1, (used, asked, soon), *capacity, &mut free.1, max, |r| r.gpus),
+                    resize(old.0, wants, *capacity, &mut free.0, max, |r| r.cpus),
+                    resize(old.1, wants, *capacity, &mut free.1, max, |r| r.gpus),
                 );
                 if part != old {
                     new.pools.insert(pool.clone(), part);
--- a/crates/cleatfold-control/src/news.rs
+++ b/crates/cleatfold-control/src/news.rs
@@ -150,10 +150,7 @@
         }
         let waited = local.unsent_since.map_or(0, |s| self.now.since(s));
         let news = self.news(job, local, live);
-        let everything = news.finishes
-            || (news.mine_left == 0 && news.unclaimed == 0)
-            || waited >= news.patience_ms
-            || self.pace.ample();
+        let everything = news.is_all() || waited >= news.patience_ms || self.pace.ample();
         Some(Selection::new(&parts, everything, self.pace.affords()))
     }
 
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -297,7 +297,9 @@
             if tasks == 0 || (spec.kind == Kind::Gang && live.claimed > 0) {
                 continue;
             }
-            let mut request = Request {
+            plan.jobs.push(id.clone());
+            plan.growth.push(*growth);
+            plan.requests.push(Request {
                 each: live.each,
                 tasks,
                 // A member beyond the base may leave at the end of any step.
@@ -307,12 +309,8 @@
                 spot: spec.spot,
                 gang: spec.kind == Kind::Gang,
                 limit: limited.iter().position(|b| b.binds(spec)),
-                avoid: Vec::new(),
-            };
-            self.avoided(id, &plan.machines, &mut request);
-            plan.jobs.push(id.clone());
-            plan.growth.push(*growth);
-            plan.requests.push(request);
+                avoid: self.avoided(id, &plan.machines),
+            });
         }
     }
 
--- a/crates/cleatfold-control/tests/unlisted.rs
+++ b/crates/cleatfold-control/tests/unlisted.rs
@@ -2,8 +2,7 @@
 //! jobs that fail wherever they run.
 
 use cleatfold_control::records::{HolderRecord, JobRecord};
-use cleatfold_control::{Event, Request};
-use cleatfold_lab::world::{node_id, Asked, JobWatch, Size, World, NODES};
+use cleatfold_lab::world::{node_id, Size, World, NODES};
 use cleatfold_wire::job::{JobSpec, Urgency};
 use cleatfold_wire::*;
 use std::collections::BTreeMap;
@@ -22,15 +21,6 @@
     spec
 }
 
-fn submit(world: &mut World, node: usize, spec: JobSpec) -> JobId {
-    let id = spec.id.clone();
-    world.jobs.insert(id.clone(), JobWatch { spec: Some(spec.clone()), ..JobWatch::default() });
-    let rid = 2_000_000 + world.jobs.len() as u64;
-    world.asked.insert((node, rid), Asked::Submit(id.clone()));
-    world.give(node, Event::Request { rid, request: Request::Submit(Box::new(spec)) });
-    id
-}
-
 /// Who holds each pool, with the number of its workers.
 fn holders(world: &World) -> BTreeMap<PoolId, (usize, usize)> {
     let mut pools: BTreeMap<PoolId, usize> = BTreeMap::new();
@@ -52,7 +42,7 @@
     world.run(Ms(4000));
     for _ in 0..6 {
         let spec = plain(&mut world, 30, 8.0);
-        submit(&mut world, 0, spec);
+        world.submit(0, spec);
         let now = world.now;
         world.run(now.plus(500));
     }
@@ -119,7 +109,7 @@
         // One after the other, then all at once, for longer and shorter than every lease.
         for (i, for_ms) in [(most, 25_000), ((most + 1) % NODES, 4_000), (most, 2_000)] {
             let spec = plain(&mut world, 20, 6.0);
-            submit(&mut world, (i + 1) % NODES, spec);
+            world.submit((i + 1) % NODES, spec);
             world.freeze(i, for_ms);
             let now = world.now;
             world.run(now.plus(for_ms / 2 + 3_000));
@@ -144,7 +134,7 @@
             world.troubles.broken.insert(spec.id.clone());
             broken.push(spec.id.clone());
         }
-        submit(&mut world, i % NODES, spec);
+        world.submit(i % NODES, spec);
         let now = world.now;
         world.run(now.plus(400));
     }
--- a/crates/cleatfold-ledger/src/news.rs
+++ b/crates/cleatfold-ledger/src/news.rs
@@ -42,13 +42,17 @@
     /// owners once kept its third until the longest wait had passed, since the job was not
     /// done for any of them.)
     pub fn can_wait(&self) -> bool {
-        let nothing_more_here = self.mine_left == 0 && self.unclaimed == 0;
-        !(self.abort || self.over || self.finishes || nothing_more_here)
+        !(self.abort || self.over || self.is_all())
             && self.gathers
             && self.starts == 0
             && self.lost == 0
     }
 
+    /// Nothing more of the job is to come from here.
+    pub fn is_all(&self) -> bool {
+        self.finishes || (self.mine_left == 0 && self.unclaimed == 0)
+    }
+
     /// It goes before all that can wait.
     pub fn presses(&self, waited_ms: u64) -> bool {
         waited_ms >= self.patience_ms || !self.can_wait()
--- a/crates/cleatfold-reach/src/lib.rs
+++ b/crates/cleatfold-reach/src/lib.rs
@@ -38,10 +38,7 @@
 
     /// A worker of the zone has spoken to us, whatever it said.
     pub fn heard(&mut self, zone: &ZoneId, now: Ms) {
-        match self.zones.get_mut(zone) {
-            Some(contact) => contact.heard(now),
-            None => self.zones.entry(zone.clone()).or_default().heard(now),
-        }
+        self.zones.entry(zone.clone()).or_default().heard(now);
     }
 
     /// A question to a machine of the zone was answered, or was not.
--- a/crates/cleatfold-reach/src/peers.rs
+++ b/crates/cleatfold-reach/src/peers.rs
@@ -34,10 +34,7 @@
 
 impl Peers {
     fn peer(&mut self, node: &NodeId) -> &mut Peer {
-        if !self.peers.contains_key(node) {
-            self.peers.insert(node.clone(), Peer::default());
-        }
-        self.peers.get_mut(node).expect("just seen to be there")
+        self.peers.entry(node.clone()).or_default()
     }
 
     pub fn heard_of(&mut self, node: &NodeId, now: Ms) {
