A cancelled job in parts stops where reports repeat: stamps move with what claims call for

The head of a job of more than 256 tasks says that it is cancelled, its claims stand in the parts: no machine's stamp moved, so unchanged reports were answered without a kill.

--- a/crates/cleatfold-control/src/mirror.rs
+++ b/crates/cleatfold-control/src/mirror.rs
@@ -270,6 +270,8 @@
         self.unreadable.remove(key);
         match parsed {
             Key::Job(id) => {
+                // What is left of it in parts is over.
+                self.restamp(&id);
                 if let Some(live) = self.jobs.remove(&id) {
                     self.leave_team(&id, &live);
                     self.elastic -= usize::from(live.record.spec.elastic.is_some());
@@ -340,7 +342,9 @@
     }
 
     pub fn install_job(&mut self, id: JobId, record: JobRecord, version: Version) {
+        let mut aborted = false;
         if let Some(old) = self.jobs.remove(&id) {
+            aborted = old.record.aborted;
             self.elastic -= usize::from(old.record.spec.elastic.is_some());
             self.unindex(&id, &old.record.table);
             self.leave_team(&id, &old);
@@ -363,8 +367,13 @@
         };
         let team = live.record.spec.team.clone();
         self.by_team.entry(team).or_default().insert((live.place(), id.clone()));
+        let cancelled = live.record.aborted && !aborted;
         self.jobs.insert(id.clone(), live);
         self.recount(&id);
+        // The claims of a job in parts are not in the record that says so.
+        if cancelled {
+            self.restamp(&id);
+        }
     }
 
     fn leave_team(&mut self, id: &JobId, live: &Live) {
@@ -468,7 +477,20 @@
         }
     }
 
-    /// Changes whenever the claims on a machine do; 0: there are none.
+    /// The job's claims call for something else than before, though none of them changed: whoever compares
+    /// stamps has to look at their machines again.
+    pub fn restamp(&mut self, id: &JobId) {
+        let Some(live) = self.jobs.get(id) else { return };
+        let parts = self.parts.get(id).into_iter().flat_map(|p| p.values()).map(|p| &p.1);
+        for group in std::iter::once(&live.record.table).chain(parts).flat_map(|t| &t.claims) {
+            if let Some(on) = self.claims.get_mut(&group.machine) {
+                self.stamps += 1;
+                on.stamp = self.stamps;
+            }
+        }
+    }
+
+    /// Changes whenever the claims on a machine do, or what they call for; 0: there are none.
     pub fn claims_stamp(&self, machine: &MachineId) -> u64 {
         self.claims.get(machine).map_or(0, |c| c.stamp)
     }
--- a/docs/days/make.py
+++ b/docs/days/make.py
@@ -2,7 +2,7 @@
 """Makes a larger or smaller deployment, and days of our own, from a site file of the users' bench.
 
     make.py size SITE.toml FACTOR OUT.toml [--zone NAME] [--machines FACTOR] [--team NAME=WEIGHT]
-    make.py day  SITE.toml everything|twice|return|TROUBLE[+TROUBLE...] OUT.toml
+    make.py day  SITE.toml everything|twice|return|gap[:CLASS]|TROUBLE[+TROUBLE...] OUT.toml
 
 `size` multiplies machines, traffic, first load and the teams' amounts; the controllers and what the
 services take stay as they are. `--zone` adds a zone with as many machines as the first one has;
@@ -13,7 +13,10 @@
 (the busiest cut from `all`, `state` or `workers`; MODE is `hold`, `reset` or, of `state`, `refuse`), `peers:SECONDS`,
 `down:SECONDS`, `busiest` (it is killed), `flood:TIMES:SECONDS` (questions), `broken:SHARE` (of every class's jobs),
 `guest:KIND` (`leftovers`, `huge` or `singles`, of a team that is in no settings file's guarantees), `late:PART` (the
-cloud's list) or `calm`. See README.md beside this file for what the days are for.
+cloud's list), `writes:SHARE:SECONDS` (transactions without an answer, executed late), `copies:SHARE:SECONDS` (of reports),
+`deaf:COUNT:SECONDS` (machines; a ZONE's for COUNT), `alone:SECONDS:MODE` (the busiest is cut from the state service and the
+other controllers) or `calm`. A TROUBLE may be followed by `@SECONDS` after the first. `gap`: the state service refuses the
+busiest controller alone, then everybody for longer than `cancel_s`, twice, while most jobs of a class are cancelled. See README.md beside this file for what the days are for.
 """
 import random
 import re
@@ -56,8 +59,10 @@
 
 def troubles(words, zones, nodes, lease, up):
     """Of a day like `burst:rendu:4:200+cut`: what happens, all of it from the same moment on."""
-    at, faults = 120.0, []
+    faults = []
     for word in words.split("+"):
+        word, _, after = word.partition("@")
+        at = 120.0 + float(after or 0)
         kind, *rest = word.split(":")
         if kind == "burst" and len(rest) == 3:
             burst = {"class": rest[0]}
@@ -92,6 +97,16 @@
             faults.append(dict(at_s=at + 15, kind="node_crash", count=1, busiest=True))
         elif kind == "flood" and len(rest) == 2:
             faults.append(dict(at_s=at, kind="poll_storm", factor=float(rest[0]), for_s=float(rest[1])))
+        elif kind == "writes" and len(rest) == 2:
+            faults.append(dict(at_s=at, kind="late_writes", share=float(rest[0]), for_s=float(rest[1])))
+        elif kind == "copies" and len(rest) == 2:
+            faults.append(dict(at_s=at, kind="late_reports", share=float(rest[0]), for_s=float(rest[1])))
+        elif kind == "deaf" and len(rest) == 2:
+            whom = {"zone": rest[0]} if rest[0] in zones else {"count": int(rest[0])}
+            faults.append(dict(at_s=at, kind="machine_deaf", **whom, for_s=float(rest[1])))
+        elif kind == "alone" and len(rest) == 2:
+            cut = dict(from_state=True, from_peers=True, mode=rest[1])
+            faults.append(dict(at_s=at, kind="node_cut", count=1, busiest=True, **cut, for_s=float(rest[0])))
         elif kind not in ("calm", "broken", "guest", "late"):
             sys.exit(f"no such trouble: {word}\n{__doc__}")
     return faults
@@ -120,9 +135,9 @@
 def others(site, words):
     """What of a day is not a fault: broken jobs, guests, a late list."""
     lines, jobs, broken = [], [], 0.0
-    visits = [w.split(":")[1] for w in words if w.startswith("guest:")]
+    visits = [w.partition("@")[0].split(":")[1] for w in words if w.startswith("guest:")]
     for word in words:
-        kind, *rest = word.split(":")
+        kind, *rest = word.partition("@")[0].split(":")
         if kind == "broken":
             broken = float(rest[0])
         elif kind == "late":
@@ -139,6 +154,21 @@
     return "".join(line + "\n" for line in lines)
 
 
+def gap(site, name):
+    """Cancellations are told by others while the leader alone is refused; then nobody can read for longer than
+    `cancel_s`. The tasks run for longer than all of it."""
+    lease, cancel = site["workers"]["lease_s"], site["workers"]["cancel_s"]
+    _, _, job = name.partition(":")
+    job, outage, at, faults = job or site["jobs"][0]["name"], round(1.25 * cancel, 1), 70.0, []
+    for _ in range(2):
+        refused = dict(kind="node_cut", count=1, busiest=True, from_state=True, mode="refuse", for_s=0.8 * lease)
+        faults += [dict(at_s=at, **refused), dict(at_s=at + 2, kind="state_outage", for_s=outage)]
+        at += outage + 0.5 * cancel
+    run = f"{{ median = {2.4 * cancel:.1f}, p95 = {3.0 * cancel:.1f}, max = {3.4 * cancel:.1f} }}"
+    jobs = f'jobs = [{{ name = "{job}", cancelled = 0.8, run_s = {run} }}]\n'
+    return faults, f"duration_s = {at + cancel}\n{jobs}"
+
+
 def day(source, name):
     site = tomllib.load(open(source, "rb"))
     zones, nodes = site["nodes"]["zones"], site["nodes"]["count"]
@@ -191,10 +221,14 @@
         for _ in range(2):
             faults += [dict(at_s=round(rng.uniform(100, 330), 1), **make()) for make in kinds]
         faults.sort(key=lambda f: f["at_s"])
-    if name not in ("everything", "return", "twice"):
+    if name.partition(":")[0] == "gap":
+        faults, extra = gap(site, name)
+        name = "gap"
+    elif name not in ("everything", "return", "twice"):
         faults = troubles(name, zones, nodes, lease, up)
         extra = others(site, name.split("+"))
         name = re.sub(r"[^a-z0-9]+", "-", name)
+    faults = [{k: round(v, 1) if isinstance(v, float) and k != "share" else v for k, v in f.items()} for f in faults]
     show = lambda v: str(v).lower() if isinstance(v, bool) else f'"{v}"' if isinstance(v, str) else str(v)
     rows = ["{ " + ", ".join(f"{k} = {show(v)}" for k, v in f.items()) + " }" for f in faults]
     return f'name = "{name}"\nslot = "scale"\nlight = false\nseed = 200\nfaults = [\n' + "".join(f"  {row},\n" for row in rows) + "]\n" + extra
