Cancellations are told over the mesh until acknowledged, beside the bound on answering without a reading

Whoever commits one tells the owners of its claims at once, whoever reads or is told of one passes it on to peers that have not read since. Owners act on it: no launch, kill in the next answer. Also: our own key is written under a guard, and an answer to a change that a reading has shown already puts nothing back into the mirror.

--- /dev/null
+++ b/crates/cleatfold-control/src/cancellations.rs
@@ -0,0 +1,85 @@
+//! Cancellations that are told over the mesh, beside what is read. `cleatfold_notices` decides whom to tell.
+//!
+//! A notice makes an owner stop a job's tasks earlier than its next reading would; it records nothing, answers no
+//! user, and renews no worker's lease. How long an owner may answer without a reading stays as it is.
+
+use crate::node::Node;
+use cleatfold_wire::mesh::Message;
+use cleatfold_wire::*;
+
+const LOOK_MS: u64 = 250;
+
+#[derive(Debug, Default)]
+pub(crate) struct Cancellations {
+    notices: cleatfold_notices::Notices,
+    looked: Ms,
+}
+
+impl Node {
+    fn peers(&self) -> impl Iterator<Item = &NodeId> {
+        self.cfg.peers.iter().map(|p| &p.0)
+    }
+
+    /// Cancelled, by what a peer told or by what we did or read.
+    pub(crate) fn is_cancelled(&self, job: &JobId) -> bool {
+        self.mirror.jobs.get(job).is_some_and(|j| j.record.aborted)
+            || self.cancellations.notices.knows(job)
+    }
+
+    /// Our transaction has cancelled the job.
+    pub(crate) fn note_confirmed(&mut self, job: &JobId) {
+        let live = self.mirror.jobs.get(job);
+        let pools = live.into_iter().flat_map(|l| &l.by_pool).filter(|p| p.1 > 0);
+        let holders = pools.filter_map(|p| self.mirror.pools.get(&p.0));
+        let owners: Vec<NodeId> = holders.map(|h| h.owner.clone()).collect();
+        let mut notices = std::mem::take(&mut self.cancellations.notices);
+        notices.confirmed(job, &owners, self.peers(), self.now);
+        self.cancellations.notices = notices;
+        self.tell_cancelled();
+    }
+
+    /// Cancellations that a reading brought.
+    pub(crate) fn note_read_cancellations(&mut self) {
+        let read = std::mem::take(&mut self.mirror.cancelled);
+        if read.is_empty() {
+            return;
+        }
+        let mut notices = std::mem::take(&mut self.cancellations.notices);
+        read.iter().for_each(|job| notices.read(job, self.peers(), self.now));
+        self.cancellations.notices = notices;
+    }
+
+    /// At each tick.
+    pub(crate) fn keep_cancellations(&mut self) {
+        if self.now.since(self.cancellations.looked) >= LOOK_MS {
+            self.cancellations.looked = self.now;
+            self.tell_cancelled();
+        }
+    }
+
+    fn tell_cancelled(&mut self) {
+        let (peers, keep_ms) = (&self.reach.view.peers, self.cfg.cancel_ms);
+        let due = self.cancellations.notices.due(self.now, keep_ms, |n| peers.contact(n));
+        for (peer, jobs) in due {
+            let jobs = jobs.iter().map(|j| j.to_string()).collect();
+            self.tell(Some(peer), Message::Cancelled { jobs });
+        }
+    }
+
+    pub(crate) fn on_cancelled(&mut self, from: NodeId, jobs: Vec<String>) {
+        let mut notices = std::mem::take(&mut self.cancellations.notices);
+        for job in jobs.iter().map(JobId::new) {
+            if notices.told(&job, &from, self.peers(), self.now) {
+                // Its machines' reports call for orders now, though they say what they said before.
+                self.mirror.restamp(&job);
+            }
+        }
+        self.cancellations.notices = notices;
+        self.tell(Some(from), Message::CancelledAck { jobs });
+        self.tell_cancelled();
+    }
+
+    pub(crate) fn on_cancelled_ack(&mut self, from: &NodeId, jobs: &[String]) {
+        jobs.iter().for_each(|job| self.cancellations.notices.acknowledged(from, &JobId::new(job)));
+    }
+}
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -528,7 +528,8 @@
                 token = wish.token.0, "claimed"
             );
         }
-        for (part, table) in tx.parts {
+        let news = self.mirror.is_news(version);
+        for (part, table) in tx.parts.into_iter().filter(|_| news) {
             let current = self.mirror.parts.get(&job).and_then(|p| p.get(&part)).map(|p| p.0);
             match table {
                 Some(table) if current.unwrap_or_default() < version => {
@@ -538,7 +539,7 @@
                 _ => {}
             }
         }
-        for (number, part) in tx.steps.changes {
+        for (number, part) in tx.steps.changes.into_iter().filter(|_| news) {
             let known = self.mirror.progress.get(&job).and_then(|p| p.get(&number)).map(|p| p.0);
             if known.unwrap_or_default() < version {
                 self.mirror.install_progress(job.clone(), number, part, version);
@@ -554,7 +555,7 @@
                     state = JobState::Running;
                 }
                 let head = tx.txn.changes.iter().any(|c| c.put.as_deref() == Some(&job_key(&job)));
-                if head && current.is_some_and(|c| c < version) {
+                if news && head && current.is_some_and(|c| c < version) {
                     self.mirror.install_job(job.clone(), *record, version);
                 }
                 if let Some(live) = self.mirror.jobs.get(&job) {
@@ -570,6 +571,9 @@
                 self.mirror.remove(&job_key(&job), version);
             }
         }
+        if state == JobState::Aborted {
+            self.note_confirmed(&job);
+        }
         let body = status(&job, state, done, claimed);
         for rid in tx.withdrawals {
             self.reply(rid, Response::Status { code: 200, status: body.clone() });
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod archive;
 mod blame;
+mod cancellations;
 pub mod config;
 mod duties;
 pub mod effects;
--- a/crates/cleatfold-control/src/mesh.rs
+++ b/crates/cleatfold-control/src/mesh.rs
@@ -34,6 +34,8 @@
                     self.note_rented(&pool, spot, machines);
                 }
             }
+            Message::Cancelled { jobs } => self.on_cancelled(from, jobs),
+            Message::CancelledAck { jobs } => self.on_cancelled_ack(&from, &jobs),
             Message::Hears { zones } => self.on_hears(&from, zones),
             Message::Assign { pools, jobs } => self.on_assign(&from, pools, jobs),
             Message::Promises { pool, token, promises } => {
--- a/crates/cleatfold-control/src/mirror.rs
+++ b/crates/cleatfold-control/src/mirror.rs
@@ -155,8 +155,9 @@
     /// Versions of keys that are gone, newest last, against late news about them.
     removed: BTreeMap<String, Version>,
     removed_order: VecDeque<String>,
-    /// Jobs that went since this was last looked at.
+    /// Jobs that went since this was last looked at, and those that became cancelled.
     pub gone: Vec<JobId>,
+    pub cancelled: Vec<JobId>,
 }
 
 impl Mirror {
@@ -175,6 +176,12 @@
         }
     }
 
+    /// Everything up to `applied` is in, and what has gone since is gone: an answer to a change of ours that comes
+    /// after a reading that showed it would put back parts and claims that others have ended meanwhile.
+    pub fn is_news(&self, version: Version) -> bool {
+        version > self.applied
+    }
+
     fn version_of(&self, key: &str, parsed: &Key) -> Version {
         let live = match parsed {
             Key::Job(id) => self.jobs.get(id).map(|j| j.version),
@@ -198,7 +205,7 @@
 
     pub fn set(&mut self, key: &str, value: &str, version: Version) {
         let Some(parsed) = parse_key(key) else { return };
-        if version <= self.version_of(key, &parsed) {
+        if !self.is_news(version) || version <= self.version_of(key, &parsed) {
             return;
         }
         let result = match parsed {
@@ -264,7 +271,7 @@
 
     pub fn remove(&mut self, key: &str, version: Version) {
         let Some(parsed) = parse_key(key) else { return };
-        if version <= self.version_of(key, &parsed) {
+        if !self.is_news(version) || version <= self.version_of(key, &parsed) {
             return;
         }
         self.unreadable.remove(key);
@@ -373,6 +380,7 @@
         // The claims of a job in parts are not in the record that says so.
         if cancelled {
             self.restamp(&id);
+            self.cancelled.push(id);
         }
     }
 
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -49,6 +49,8 @@
     pub(crate) lease_sent: Ms,
     pub(crate) incarnation: Option<u64>,
     enlisting: bool,
+    /// When our own key was last settled; what came of it shows in readings sent since.
+    enlisted: Option<Ms>,
     pub(crate) roster: Roster,
     pub(crate) leader_since: Option<Ms>,
     pub(crate) dealing: Option<u64>,
@@ -95,6 +97,7 @@
     /// Tasks of our machines that are told to leave.
     pub(crate) stops: crate::shrink::Stops,
     pub(crate) completed_at: Ms,
+    pub(crate) cancellations: crate::cancellations::Cancellations,
 }
 
 impl Node {
@@ -127,6 +130,7 @@
             lease_sent: Ms(0),
             incarnation: None,
             enlisting: false,
+            enlisted: None,
             roster: Default::default(),
             leader_since: None,
             dealing: None,
@@ -166,6 +170,7 @@
             cleanup_inflight: false,
             stops: Default::default(),
             completed_at: Ms(0),
+            cancellations: Default::default(),
         }
     }
 
@@ -259,6 +264,7 @@
             }
             self.tell_images();
         }
+        self.keep_cancellations();
         if !self.serving() {
             return;
         }
@@ -336,10 +342,13 @@
         if let (Some(lease), Some(incarnation), false) =
             (self.lease, self.incarnation, self.enlisting)
         {
-            let known = self.mirror.nodes.get(&self.cfg.me);
-            if self.loaded && known.map(|n| n.0) != Some(incarnation) {
+            let known = self.mirror.nodes.get(&self.cfg.me).copied();
+            let read = self.enlisted.is_none_or(|at| self.fresh.is_some_and(|f| f >= at));
+            if self.loaded && read && known.map(|n| n.0) != Some(incarnation) {
                 self.enlisting = true;
                 let mut txn = Txn::default();
+                // Guarded, or one of a former life that is executed late puts that life back.
+                txn.guard(node_key(&self.cfg.me), known.map(|n| n.1).unwrap_or_default());
                 txn.put(node_key(&self.cfg.me), &NodeRecord { incarnation }, Some(lease));
                 self.store(Lane::Renewal, StoreRequest::Txn(txn), Pending::Enlist);
             }
@@ -445,6 +454,7 @@
     }
 
     fn after_sync(&mut self, sent: Ms) {
+        self.note_read_cancellations();
         for job in std::mem::take(&mut self.mirror.gone) {
             self.archive.stale |= self.terminal.get(&job).is_none();
             self.drop_local(&job);
@@ -535,6 +545,7 @@
             }
             Pending::Enlist => {
                 self.enlisting = false;
+                self.enlisted = Some(self.now);
                 if let StoreReply::Bad(_) = reply {
                     self.lease = None;
                 }
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -97,7 +97,7 @@
 
     /// Cancelled, or not among the live jobs: nothing of it may start or go on.
     fn is_over(&self, job: &JobId) -> bool {
-        self.mirror.jobs.get(job).is_none_or(|j| j.record.aborted || j.is_complete())
+        self.mirror.jobs.get(job).is_none_or(|j| j.is_complete()) || self.is_cancelled(job)
     }
 
     /// How long the answer to a report that calls for no command may wait for one: where there
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -38,7 +38,7 @@
 use cleatfold_wire::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use size::{config, kind, CANCEL_MS, LEASE_MS, ZONES};
+use size::{config, kind, LEASE_MS, ZONES};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 pub use weights::Weights;
@@ -222,6 +222,8 @@
     pub started: u32,
     pub absences: u32,
     pub mesh_off: bool,
+    /// From whom to whom nothing comes through.
+    pub mesh_cut: BTreeSet<(usize, usize)>,
     pub cloud_off: bool,
     /// How much later than usual the state service's answers reach a node.
     pub slow_answers: Vec<u64>,
@@ -291,6 +293,7 @@
             started: 0,
             absences: 0,
             mesh_off: false,
+            mesh_cut: BTreeSet::new(),
             cloud_off: false,
             slow_answers: vec![0; size.nodes],
             troubles: Default::default(),
@@ -415,7 +418,8 @@
             if to.as_ref().is_some_and(|t| *t != node_id(peer)) {
                 continue;
             }
-            if self.troubles.apart(node, peer, self.now) {
+            let cut = self.mesh_cut.contains(&(node, peer));
+            if cut || self.troubles.apart(node, peer, self.now) {
                 continue;
             }
             let delay = self.delay(node).max(self.delay(peer));
--- a/crates/cleatfold-lab/src/world/size.rs
+++ b/crates/cleatfold-lab/src/world/size.rs
@@ -19,6 +19,9 @@
     /// Of each team that has a limit.
     pub limit_cpus: f64,
     pub report_ms: u64,
+    /// The workers' lease, and how long a cancellation may take.
+    pub lease_ms: u64,
+    pub cancel_ms: u64,
     /// Tasks of a usual job, at least and less than.
     pub tasks: (u32, u32),
     /// Mean pause between what one user does, in milliseconds.
@@ -38,6 +41,8 @@
         changes_per_s: 60.0,
         limit_cpus: 24.0,
         report_ms: 1000,
+        lease_ms: LEASE_MS,
+        cancel_ms: CANCEL_MS,
         tasks: (1, 12),
         pause_ms: 900,
         most_jobs: 60,
@@ -74,8 +79,8 @@
         peers: (0..size.nodes).filter(|j| *j != i).map(|j| (node_id(j), zone(j))).collect(),
         teams: (0..size.teams).map(team).collect(),
         report_ms: size.report_ms,
-        lease_ms: LEASE_MS,
-        cancel_ms: CANCEL_MS,
+        lease_ms: size.lease_ms,
+        cancel_ms: size.cancel_ms,
         txn_ops: 16,
         changes_per_s: size.changes_per_s,
         value_bytes: 16 * 1024,
--- a/crates/cleatfold-lab/src/world/watch.rs
+++ b/crates/cleatfold-lab/src/world/watch.rs
@@ -12,7 +12,7 @@
             self.watch_answers();
             for task in self.running.keys() {
                 let told = self.jobs.get(&task.job).and_then(|w| w.cancel_told);
-                if told.is_some_and(|t| self.now.since(t) > CANCEL_MS) {
+                if told.is_some_and(|t| self.now.since(t) > self.size.cancel_ms) {
                     self.broken.push(format!("{:?} ran_cancelled {task}", self.now));
                 }
             }
--- a/crates/cleatfold-lab/src/world/workers.rs
+++ b/crates/cleatfold-lab/src/world/workers.rs
@@ -93,7 +93,7 @@
         let boot_ms = self.boot_ms();
         let up = self.now.plus(boot_ms);
         let mut worker = Worker::new(id.clone(), machine_type.clone(), zone.clone(), spot, up);
-        worker.lease_ms = LEASE_MS;
+        worker.lease_ms = self.size.lease_ms;
         worker.endpoint = Some(id.to_string());
         self.has_images(&mut worker);
         self.booted += 1;
--- a/crates/cleatfold-wire/src/mesh.rs
+++ b/crates/cleatfold-wire/src/mesh.rs
@@ -28,4 +28,8 @@
     /// By zone: how long ago the sender heard of any of its workers, and whether it has asked them in
     /// vain since.
     Hears { zones: Vec<(String, u64, bool)> },
+    /// These jobs are cancelled: durably, and for ever.
+    Cancelled { jobs: Vec<String> },
+    /// The sender knows that these are.
+    CancelledAck { jobs: Vec<String> },
 }
