--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 mod duties;
 pub mod effects;
+mod entitled;
 mod fleet;
 mod jobs;
 mod lanes;
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -11,7 +11,7 @@
 use crate::jobs::End;
 use crate::node::Node;
 use cleatfold_wire::cloud::MachineState;
-use cleatfold_wire::worker::{Command, Exit, RawReport, Report, ReportReply, TaskState};
+use cleatfold_wire::worker::{Command, Exit, RawReport, Report, TaskState};
 use cleatfold_wire::*;
 use serde_json::value::RawValue;
 use std::collections::BTreeSet;
@@ -43,9 +43,10 @@
             self.reach.view.letting.is_served(&pool, self.now);
             return self.reply(rid, Response::Redirect(None));
         }
-        if self.is_cut_off() {
-            return self.reply(rid, Response::later("cut off from the state service"));
-        }
+        let entitled = match self.entitled(&pool) {
+            Ok(entitled) => entitled,
+            Err(response) => return self.reply(rid, response),
+        };
         let machine = self.fleet.machines.get(&report.machine);
         let known = machine.and_then(|m| m.report.as_ref());
         if known.is_some_and(|k| (k.session, k.seq) >= (report.session, report.seq)) {
@@ -55,7 +56,7 @@
         if machine.is_none() && report.token != token {
             // Perhaps a copy of what a machine said that has long been returned; another owner, or our own
             // former life, deleted it. A worker that is there comes again at once, with our token.
-            return self.reply(rid, Response::Worker(ReportReply { token, commands: vec![] }));
+            return self.reply(rid, entitled.answer(vec![]));
         }
         if let Some(away) = self.let_go(&report, &pool) {
             return self.reply(rid, away);
@@ -84,17 +85,10 @@
             let until = self.now.plus(hold);
             self.held.insert(id, Held { rid, pool, token, until });
         } else {
-            self.reply(rid, Response::Worker(ReportReply { token, commands }));
+            self.reply(rid, entitled.answer(commands));
         }
     }
 
-    /// Cut off from the state service for so long that a cancellation told elsewhere could no
-    /// longer be met if we went on renewing leases.
-    fn is_cut_off(&self) -> bool {
-        let deaf = self.fresh.map_or(u64::MAX, |f| self.now.since(f));
-        deaf > self.cfg.deaf_limit_ms()
-    }
-
     /// Cancelled, or not among the live jobs: nothing of it may start or go on.
     fn is_over(&self, job: &JobId) -> bool {
         self.mirror.jobs.get(job).is_none_or(|j| j.is_complete()) || self.is_cancelled(job)
@@ -139,17 +133,17 @@
             .collect();
         for id in due {
             let Some(held) = self.held.remove(&id) else { continue };
-            let response = if self.my_token(&held.pool) != Some(held.token) {
-                Response::Redirect(None)
-            } else if self.is_cut_off() {
-                Response::later("cut off from the state service")
-            } else {
-                let commands = self.starts(&id, held.token);
-                self.note_fetches(&id, &commands);
-                if let Some(machine) = self.fleet.machines.get_mut(&id) {
-                    machine.ears.told_late(self.now, &commands);
+            let response = match self.entitled(&held.pool) {
+                Err(response) => response,
+                Ok(entitled) if entitled.token() != held.token => Response::Redirect(None),
+                Ok(entitled) => {
+                    let commands = self.starts(&id, held.token);
+                    self.note_fetches(&id, &commands);
+                    if let Some(machine) = self.fleet.machines.get_mut(&id) {
+                        machine.ears.told_late(self.now, &commands);
+                    }
+                    entitled.answer(commands)
                 }
-                Response::Worker(ReportReply { token: held.token, commands })
             };
             self.reply(held.rid, response);
         }
@@ -313,6 +307,11 @@
                 // Another attempt of the same task is still here: the claim must stand until
                 // that is gone, or the task could be started elsewhere beside it.
                 (TaskState::Exited, true) if alive.contains(&t.task) => {}
+                // A former owner's claim: before the worker has seen our token, that owner can order the same
+                // attempt once more in the worker's next session, which has forgotten the exit. (A late copy
+                // told of the exit while the attempt ran again: ran_twice.)
+                (TaskState::Exited, true)
+                    if !seen_our_token && claim.is_some_and(|c| c.token != token) => {}
                 (TaskState::Exited, true) => {
                     let exit = t.why.unwrap_or(Exit::Other);
                     ends.push((t.clone(), exit));
