A commit's result goes into the mirror like any news; tests of meeting troubles

A transaction's answer that came after a reading which had shown its part removed brought the part back: completed tasks counted twice. The mirror's own version check now decides for commits too.

--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -112,13 +112,12 @@
     claims: Vec<(Wish, Vec<(TaskIx, Attempt)>)>,
     withdrawals: Vec<u64>,
     result: Outcome,
-    parts: Vec<(u32, Option<Table>)>,
     steps: Judged,
 }
 
 #[derive(Debug)]
 enum Outcome {
-    Live(Box<JobRecord>),
+    Live { aborted: bool },
     Ended(ArchiveRecord),
 }
 
@@ -388,7 +387,6 @@
         };
         let finished = all_done && !record.aborted;
         let over = finished || (record.aborted && claimed == 0);
-        let mut part_results = Vec::new();
         for (part, table) in touched {
             let version = parts.and_then(|p| p.get(&part)).map(|p| p.0).unwrap_or_default();
             txn.guard(part_key(job, part), version);
@@ -404,10 +402,8 @@
                 if version > Version(0) {
                     txn.delete(part_key(job, part));
                 }
-                part_results.push((part, None));
             } else {
                 txn.put(part_key(job, part), &table, None);
-                part_results.push((part, Some(table)));
             }
         }
         let withdrawals = if local.abort { std::mem::take(&mut local.withdrawals) } else { vec![] };
@@ -444,7 +440,7 @@
             if head_changed {
                 txn.put(job_key(job), &record, None);
             }
-            Outcome::Live(Box::new(record))
+            Outcome::Live { aborted: record.aborted }
         };
         Some(JobTx {
             job: job.clone(),
@@ -454,7 +450,6 @@
             claims,
             withdrawals,
             result,
-            parts: part_results,
             steps,
         })
     }
@@ -528,35 +523,23 @@
                 token = wish.token.0, "claimed"
             );
         }
-        for (part, table) in tx.parts {
-            let current = self.mirror.parts.get(&job).and_then(|p| p.get(&part)).map(|p| p.0);
-            match table {
-                Some(table) if current.unwrap_or_default() < version => {
-                    self.mirror.install_part(job.clone(), part, table, version)
-                }
-                None => self.mirror.remove(&part_key(&job, part), version),
+        // Each key by its version, like any news: a reading may have shown what others made of it since, also
+        // that it is gone. (A part that came back so counted its completed tasks twice.)
+        for change in &tx.txn.changes {
+            match (&change.put, &change.value, &change.delete) {
+                (Some(key), Some(value), _) => self.mirror.set(key, value.get(), version),
+                (_, _, Some(key)) => self.mirror.remove(key, version),
                 _ => {}
             }
         }
-        for (number, part) in tx.steps.changes {
-            let known = self.mirror.progress.get(&job).and_then(|p| p.get(&number)).map(|p| p.0);
-            if known.unwrap_or_default() < version {
-                self.mirror.install_progress(job.clone(), number, part, version);
-            }
-        }
         self.answer_steps(tx.steps.told);
-        let current = self.mirror.jobs.get(&job).map(|j| j.version);
         let mut state = JobState::Aborted;
         let (mut done, mut claimed) = (0, 0);
         match tx.result {
-            Outcome::Live(record) => {
-                if !record.aborted {
+            Outcome::Live { aborted } => {
+                if !aborted {
                     state = JobState::Running;
                 }
-                let head = tx.txn.changes.iter().any(|c| c.put.as_deref() == Some(&job_key(&job)));
-                if head && current.is_some_and(|c| c < version) {
-                    self.mirror.install_job(job.clone(), *record, version);
-                }
                 if let Some(live) = self.mirror.jobs.get(&job) {
                     (done, claimed) = (live.done, live.claimed);
                 }
@@ -567,7 +550,6 @@
                 done = archive.done;
                 self.find_ended_losses(&job, &archive);
                 self.terminal.insert(job.clone(), archive);
-                self.mirror.remove(&job_key(&job), version);
             }
         }
         let body = status(&job, state, done, claimed);
--- /dev/null
+++ b/crates/cleatfold-control/tests/meetings.rs
@@ -0,0 +1,46 @@
+//! Two troubles at once.
+
+mod meeting;
+
+use cleatfold_wire::*;
+use meeting::*;
+
+/// A cancelled job in parts: its claims stand in other records than the cancellation, so machines'
+/// claims did not change, their reports repeated the last ones, and nobody told them to stop.
+#[test]
+fn a_cancelled_job_in_parts_stops_on_machines_whose_reports_repeat() {
+    for seed in 1..4 {
+        let mut world = region(seed, 24);
+        world.run(Ms(4000));
+        let mut spec = plain(&mut world, 300, 200.0);
+        spec.cpus = 1.0;
+        let job = world.submit(0, spec);
+        run_for(&mut world, 40_000);
+        assert!(world.running.len() > 50, "seed {seed}: {} run", world.running.len());
+        withdraw(&mut world, 1, &job);
+        run_for(&mut world, 60_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:#?}", world.broken);
+        assert!(world.running.is_empty(), "seed {seed}: {} run", world.running.len());
+    }
+}
+
+/// A transaction's answer that came after a reading that had shown the same key's removal brought the
+/// part back: its completed tasks counted twice, and the job was done before it was.
+#[test]
+fn late_answers_to_commits_bring_no_part_back() {
+    for seed in 1..30 {
+        let mut world = region(seed, 24);
+        world.run(Ms(4000));
+        let until = Ms(300_000);
+        for i in 0..3 {
+            world.meetings.late_commits.insert(i, (1400, until));
+        }
+        for n in 0..4 {
+            let mut spec = plain(&mut world, 270 + 10 * n, 2.0 + f64::from(n) * 2.0);
+            spec.cpus = 1.0;
+            world.submit(n as usize % 3, spec);
+            run_for(&mut world, 500);
+        }
+        ends_well(&mut world, 400_000, &format!("seed {seed}"));
+    }
+}
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -7,6 +7,7 @@
 mod drawn;
 mod lanes;
 mod look;
+mod meetings;
 mod polls;
 mod services;
 mod size;
@@ -234,6 +235,7 @@
     /// Changes that came too late.
     pub conflicts: u32,
     pub blinks: blinks::Blinks,
+    pub meetings: meetings::Meetings,
 }
 
 impl World {
@@ -300,6 +302,7 @@
             lanes: Default::default(),
             conflicts: 0,
             blinks: Default::default(),
+            meetings: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -444,6 +447,7 @@
                     let request = Happens::StoreRequest { node, life, op, request, answered };
                     return self.at(ms, request);
                 }
+                let is_txn = matches!(request, StoreRequest::Txn(_));
                 let reply = if self.outage > self.now
                     || self.store_cut[node] > self.now
                     || self.troubles.refused_apart(node, self.now)
@@ -456,7 +460,8 @@
                     self.blinks_now(&due);
                 }
                 if answered {
-                    let delay = self.delay(node) + self.slow_answers[node];
+                    let late = self.slow_answers[node] + self.commit_late(node, is_txn);
+                    let delay = self.delay(node) + late;
                     let event = Box::new(Event::Store { op, reply });
                     self.at(delay, Happens::Node(node, life, event));
                 }
