--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -386,7 +386,11 @@
             None => done >= record.spec.tasks,
         };
         let finished = all_done && !record.aborted;
-        let over = finished || (record.aborted && claimed == 0);
+        // A claim in a part does not change the head. Whoever cancels may not have read one that was made
+        // before; once the cancelled head itself was read none is missing, and none can be added.
+        let all_read =
+            !record.in_parts() || (live.record.aborted && live.version <= self.mirror.applied);
+        let over = finished || (record.aborted && claimed == 0 && all_read);
         for (part, table) in touched {
             let version = parts.and_then(|p| p.get(&part)).map(|p| p.0).unwrap_or_default();
             txn.guard(part_key(job, part), version);
--- a/crates/cleatfold-control/src/steps.rs
+++ b/crates/cleatfold-control/src/steps.rs
@@ -8,7 +8,7 @@
 
 use crate::effects::*;
 use crate::jobs::Local;
-use crate::mirror::ProgressMap;
+use crate::mirror::{Live, ProgressMap};
 use crate::node::{Node, Wait};
 use crate::records::*;
 use cleatfold_elastic::{Ledger, Members, Part, Progress, Verdict};
@@ -187,8 +187,9 @@
         let steps = self.mirror.progress.keys();
         let steps =
             steps.filter(|id| live(id).is_some_and(|l| l.is_complete() && !l.record.aborted));
-        let parts = self.mirror.parts.keys();
-        let parts = parts.filter(|id| live(id).is_some_and(|l| l.record.aborted));
+        // Whether any part of it has a record or not: cancelled before its first claim, it has none.
+        let cancelled = |l: &Live| l.record.aborted && l.record.in_parts() && l.claimed == 0;
+        let parts = self.mirror.jobs.iter().filter(|(_, l)| cancelled(l)).map(|(id, _)| id);
         let over: Vec<JobId> =
             steps.chain(parts).filter(|id| self.keeper(id) == self.cfg.me).cloned().collect();
         for job in over {
--- a/crates/cleatfold-control/tests/meetings.rs
+++ b/crates/cleatfold-control/tests/meetings.rs
@@ -44,3 +44,29 @@
         ends_well(&mut world, 400_000, &format!("seed {seed}"));
     }
 }
+
+/// A cancellation is built on what its controller has read, and claims in parts do not change the head: one
+/// that was made in between was left behind with a part of a job that had ended.
+#[test]
+fn a_job_in_parts_that_is_cancelled_as_it_begins_leaves_no_claim() {
+    for seed in 1..4 {
+        for after_ms in (100..3_000).step_by(150) {
+            let mut world = region(seed, 24);
+            world.run(Ms(4000));
+            let mut first = plain(&mut world, 20, 10.0);
+            first.cpus = 8.0;
+            world.submit(0, first);
+            run_for(&mut world, 10_000);
+            let mut spec = plain(&mut world, 300, 60.0);
+            spec.cpus = 1.0;
+            let job = world.submit(0, spec);
+            let slow = (seed as usize) % 3;
+            world.slow_answers[slow] = 700;
+            run_for(&mut world, after_ms);
+            withdraw(&mut world, slow, &job);
+            run_for(&mut world, 4_000);
+            world.slow_answers[slow] = 0;
+            ends_well(&mut world, 120_000, &format!("seed {seed}, after {after_ms} ms"));
+        }
+    }
+}
--- a/crates/cleatfold-lab/src/world/services.rs
+++ b/crates/cleatfold-lab/src/world/services.rs
@@ -20,12 +20,14 @@
                 self.changes.push((now, txn.changes.len()));
                 self.spend(txn.changes.len());
                 let (unfenced, absences) = self.releases(&txn);
+                let left = self.ends_with_claims(&txn);
                 let steps = self.steps.judge(&self.store, &txn);
                 match self.store.txn(&txn) {
                     Ok(version) => {
                         self.steps.note(steps);
                         self.broken.append(&mut self.steps.broken);
                         self.broken.extend(unfenced);
+                        self.broken.extend(left);
                         self.absences += absences;
                         StoreReply::Committed(version)
                     }
