--- a/crates/cleatfold-control/tests/meeting/mod.rs
+++ b/crates/cleatfold-control/tests/meeting/mod.rs
@@ -44,3 +44,79 @@
     assert!(world.broken.is_empty(), "{what}: {:#?}", world.broken);
     assert_eq!(world.unfinished(), Vec::<JobId>::new(), "{what}");
 }
+
+/// What befalls an owner of pools.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Loss {
+    /// Its process ends and is back so much later.
+    Ends(u64),
+    /// It alone is refused by the state service; its process lives on.
+    Refused(u64),
+    /// It has neither the state service nor its peers, its calls refused or held.
+    Apart(u64, bool),
+    /// It stands still.
+    Still(u64),
+    /// It is cut off from everything, packets held.
+    Cut(u64),
+    /// All end, one is back at once, the others so much later.
+    AllEnd(u64),
+}
+
+impl Loss {
+    pub const ALL: [Loss; 9] = [
+        Loss::Ends(300),
+        Loss::Ends(8_000),
+        Loss::Refused(6_000),
+        Loss::Refused(20_000),
+        Loss::Apart(9_000, true),
+        Loss::Apart(25_000, false),
+        Loss::Still(7_000),
+        Loss::Cut(12_000),
+        Loss::AllEnd(7_000),
+    ];
+
+    pub fn befall(self, world: &mut World, node: usize) {
+        let now = world.now;
+        match self {
+            Loss::Ends(back) => world.crash(node, back),
+            Loss::Refused(ms) => world.store_cut[node] = now.plus(ms),
+            Loss::Apart(ms, held) => world.set_apart(node, now.plus(ms), held),
+            Loss::Still(ms) => world.freeze(node, ms),
+            Loss::Cut(ms) => world.cut[node] = now.plus(ms),
+            Loss::AllEnd(ms) => {
+                for i in 0..world.nodes.len() {
+                    world.crash(i, if i == node { 200 } else { ms });
+                }
+            }
+        }
+    }
+}
+
+/// Runs on while users ask at every controller each second.
+pub fn asking(world: &mut World, ms: u64) {
+    let until = world.now.plus(ms);
+    while world.now < until && world.broken.is_empty() {
+        run_for(world, 1_000.min(until.since(world.now)));
+        (0..world.nodes.len()).for_each(|i| world.ask_all_at(i));
+    }
+}
+
+pub fn ends_well_asked(world: &mut World, by_ms: u64, what: &str) {
+    let until = world.now.plus(by_ms);
+    while world.now < until && !world.unfinished().is_empty() && world.broken.is_empty() {
+        asking(world, 5_000);
+    }
+    asking(world, 3_000);
+    assert!(world.broken.is_empty(), "{what}: {:#?}", world.broken);
+    assert_eq!(world.unfinished(), Vec::<JobId>::new(), "{what}");
+    for (job, watch) in &world.jobs {
+        use cleatfold_wire::job::JobState;
+        let told = watch.told.is_some_and(JobState::is_final);
+        assert!(told || !watch.accepted, "{what}: {job} has ended and nobody was told");
+    }
+}
+
+/// Whoever holds the pool of the machine.
+pub fn owner(world: &World, machine: &MachineId) -> Option<usize> {
+    world.holder(&world.pool_of(machine)?)
+}
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -387,11 +387,12 @@
                     self.at(delay, Happens::CloudRequest { node, life, op, request });
                 }
                 Effect::Order { machine, orders, .. } => {
-                    let delay = self.delay(node);
+                    let delay = self.delay(node) + self.order_late();
                     self.at(delay, Happens::Orders { node, life, machine, orders });
                 }
                 Effect::Probe { machine, .. } => {
                     let delay = 2 * self.delay(node);
+                    let cut = self.machine_cut(&machine);
                     let (troubles, now) = (&self.troubles, self.now);
                     let hangs = self.hung.get(&machine).is_some_and(|until| *until > now);
                     let said = self.workers.get_mut(&machine).and_then(|w| {
@@ -399,6 +400,7 @@
                             && !troubles.is_deaf(w, now)
                             && delay < 1000;
                         // Before it is up it answers nobody.
+                        let reached = reached && !cut;
                         let there = reached && !hangs && w.renewed <= now;
                         there.then(|| w.report()).map(|r| (r.session, r.seq))
                     });
@@ -555,8 +557,10 @@
                     return self.at(until, Happens::Orders { node, life, machine, orders });
                 }
                 self.wake(&machine);
+                let cut = self.machine_cut(&machine);
+                let lost = self.order_answer_lost();
                 let Some(worker) = self.workers.get_mut(&machine) else { return };
-                if self.troubles.is_deaf(worker, now) {
+                if cut || self.troubles.is_deaf(worker, now) {
                     let event = Box::new(Event::Ordered { machine, report: None });
                     return self.at(4000, Happens::Node(node, life, event));
                 }
@@ -567,7 +571,7 @@
                 if let Some((happenings, report)) = report {
                     self.judge(&machine, happenings);
                     self.wake(&machine);
-                    let event = Event::Ordered { machine, report: Some(report) };
+                    let event = Event::Ordered { machine, report: Some(report).filter(|_| !lost) };
                     let delay = self.delay(node);
                     self.at(delay, Happens::Node(node, life, Box::new(event)));
                 }
--- a/crates/cleatfold-lab/src/world/meetings.rs
+++ b/crates/cleatfold-lab/src/world/meetings.rs
@@ -7,6 +7,19 @@
 pub struct Meetings {
     /// Controllers whose transactions are answered late, by up to so much, until when. Readings are not.
     pub late_commits: BTreeMap<usize, (u64, Ms)>,
+    /// How long tasks run, where that is not by their number.
+    pub runs: BTreeMap<TaskId, u64>,
+    /// Direct orders arrive up to so much later, until when; and whether their answers are lost.
+    pub late_orders: Option<(u64, Ms, bool)>,
+    /// Orders that came late.
+    pub ordered_late: u32,
+    /// Machines that reach nobody and that nobody reaches, until when. Their tasks run on.
+    pub cut_machines: BTreeMap<MachineId, Ms>,
+    /// What was launched, and where: an attempt that is forgotten must not be launched again.
+    launched: BTreeSet<(MachineId, u64, TaskId, Attempt)>,
+    /// Completed tasks that users were told of, and that they knew of when they asked.
+    told: BTreeMap<JobId, u32>,
+    counted: BTreeMap<u64, (JobId, u32)>,
 }
 
 impl World {
@@ -18,6 +31,73 @@
         }
     }
 
+    pub(super) fn order_late(&mut self) -> u64 {
+        match self.meetings.late_orders {
+            Some((most, until, _)) if until > self.now => {
+                self.meetings.ordered_late += 1;
+                self.rng.random_range(0..most)
+            }
+            _ => 0,
+        }
+    }
+
+    pub(super) fn order_answer_lost(&self) -> bool {
+        self.meetings.late_orders.is_some_and(|(_, until, lost)| lost && until > self.now)
+    }
+
+    pub(super) fn machine_cut(&self, id: &MachineId) -> bool {
+        self.meetings.cut_machines.get(id).is_some_and(|until| *until > self.now)
+    }
+
+    /// The task has begun on the machine.
+    pub(super) fn see_launch(&mut self, task: &TaskId, machine: &MachineId) {
+        let Some(worker) = self.workers.get(machine) else { return };
+        let running = worker.tasks.iter().filter(|((t, _), s)| t == task && s.exit.is_none());
+        for attempt in running.map(|((_, attempt), _)| *attempt) {
+            let launch = (machine.clone(), worker.session, task.clone(), attempt);
+            if !self.meetings.launched.insert(launch) {
+                self.broken.push(format!("{:?} launched again {task} on {machine}", self.now));
+            }
+        }
+    }
+
+    /// A user asks: what it knows by now must not be taken back.
+    pub(super) fn note_count(&mut self, rid: u64, asked: &Asked) {
+        if let Asked::Poll(id, ..) | Asked::Submit(id) = asked {
+            let known = self.meetings.told.get(id).copied().unwrap_or_default();
+            self.meetings.counted.insert(rid, (id.clone(), known));
+        }
+    }
+
+    pub(super) fn judge_count(&mut self, rid: u64, response: &Response) {
+        let Some((id, before)) = self.meetings.counted.remove(&rid) else { return };
+        let Response::Status { status, .. } = response else { return };
+        if status.done < before && status.state != JobState::Aborted {
+            self.broken.push(format!("{:?} {id}: {} done after {before}", self.now, status.done));
+        }
+        let told = self.meetings.told.entry(id).or_default();
+        *told = (*told).max(status.done);
+    }
+
+    /// A user submits a job once more.
+    pub fn submit_again(&mut self, node: usize, job: &JobId) {
+        let Some(spec) = self.jobs.get(job).and_then(|w| w.spec.clone()) else { return };
+        if self.nodes[node].is_some() {
+            self.ask(node, Asked::Submit(job.clone()), Request::Submit(Box::new(spec)));
+        }
+    }
+
+    /// Users ask about every job that was accepted, at this controller.
+    pub fn ask_all_at(&mut self, node: usize) {
+        let known = self.jobs.iter().filter(|j| j.1.accepted);
+        let known: Vec<_> = known.map(|(id, w)| (id.clone(), w.told)).collect();
+        for (id, told) in known {
+            if self.nodes[node].is_some() && self.cut[node] <= self.now {
+                self.ask(node, Asked::Poll(id.clone(), told, true), Request::Poll(id));
+            }
+        }
+    }
+
     /// A job that leaves the live records leaves no claim behind: whoever counts what its team uses, or what
     /// is to be stopped, goes by claims.
     pub(super) fn ends_with_claims(&self, txn: &Txn) -> Vec<String> {
--- a/crates/cleatfold-lab/src/world/users.rs
+++ b/crates/cleatfold-lab/src/world/users.rs
@@ -23,6 +23,7 @@
             }
             Some(Asked::Team) => self.team_answer = Some(response),
             Some(asked) if self.cut[node] <= self.now && !late => {
+                self.judge_count(rid, &response);
                 self.judge_answer(asked, response)
             }
             _ => {}
@@ -126,6 +127,7 @@
     pub fn ask(&mut self, node: usize, asked: Asked, request: Request) {
         self.next_rid += 1;
         let rid = self.next_rid;
+        self.note_count(rid, &asked);
         self.asked.insert((node, rid), asked);
         self.give(node, Event::Request { rid, request });
     }
--- a/crates/cleatfold-lab/src/world/watch.rs
+++ b/crates/cleatfold-lab/src/world/watch.rs
@@ -50,6 +50,7 @@
                         watch.begun.get_or_insert(now);
                     }
                     self.see_start(&task, machine);
+                    self.see_launch(&task, machine);
                     match self.running.insert(task.clone(), machine.clone()) {
                         Some(other) => self
                             .broken
--- a/crates/cleatfold-lab/src/world/workers.rs
+++ b/crates/cleatfold-lab/src/world/workers.rs
@@ -134,7 +134,8 @@
         let node = link.target;
         self.at(4000, Happens::WorkerTimeout { machine: id.clone(), number });
         self.copy_perhaps(&report);
-        if self.nodes[node].is_none() || self.troubles.cut_off(node, &report.zone, now) {
+        let cut = self.machine_cut(&id) || self.troubles.cut_off(node, &report.zone, now);
+        if self.nodes[node].is_none() || cut {
             return;
         }
         let delay = self.delay(node);
@@ -162,15 +163,20 @@
         if self.workers.get(&id).is_some_and(|w| self.troubles.is_deaf(w, now)) {
             return;
         }
+        if self.meetings.cut_machines.get(&id).is_some_and(|until| *until > now) {
+            return;
+        }
         link.waiting = None;
         match response {
             Response::Worker(reply) => {
                 let (jobs, broken) = (&self.jobs, &self.troubles.broken);
+                let runs = &self.meetings.runs;
                 let find = |task: &TaskId| {
                     let spec = jobs.get(&task.job)?.spec.clone()?;
                     (task.ix.0 < spec.tasks).then(|| {
                         let run = (spec.estimate_s * 1000.0) as u64;
                         let run = run / 2 + run * (u64::from(task.ix.0) % 5) / 4;
+                        let run = runs.get(task).copied().unwrap_or(run);
                         (spec, run, broken.contains(&task.job))
                     })
                 };
