--- a/crates/cleatfold-lab/src/world/meetings.rs
+++ b/crates/cleatfold-lab/src/world/meetings.rs
@@ -49,6 +49,20 @@
         self.meetings.cut_machines.get(id).is_some_and(|until| *until > self.now)
     }
 
+    /// A machine that hangs beyond its lease does not go on with its tasks: they are over when the lease is.
+    /// For how long it still stands.
+    pub(super) fn lapses_hanging(&mut self, id: &MachineId) -> Option<u64> {
+        let now = self.now;
+        let worker = self.workers.get_mut(id)?;
+        let stands = worker.renewed.plus(worker.lease_ms + 1).since(now);
+        if stands > 0 {
+            return Some(stands);
+        }
+        let lost = worker.begin_anew(now);
+        self.judge(id, lost);
+        None
+    }
+
     /// The task has begun on the machine.
     pub(super) fn see_launch(&mut self, task: &TaskId, machine: &MachineId) {
         let Some(worker) = self.workers.get(machine) else { return };
--- a/crates/cleatfold-lab/src/world/workers.rs
+++ b/crates/cleatfold-lab/src/world/workers.rs
@@ -33,8 +33,9 @@
     pub(super) fn hangs(&mut self, id: &MachineId) -> bool {
         match self.hung.get(id) {
             Some(until) if *until > self.now => {
-                let until = until.since(self.now);
-                self.at(until, Happens::Wake(id.clone()));
+                let goes_on = until.since(self.now);
+                let lease = self.lapses_hanging(id);
+                self.at(lease.map_or(goes_on, |ms| ms.min(goes_on)), Happens::Wake(id.clone()));
                 true
             }
             _ => false,
