--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -7,6 +7,7 @@
 mod drawn;
 mod lanes;
 mod look;
+mod meetings;
 mod polls;
 mod services;
 mod size;
@@ -236,6 +237,7 @@
     /// Changes that came too late.
     pub conflicts: u32,
     pub blinks: blinks::Blinks,
+    pub meetings: meetings::Meetings,
 }
 
 impl World {
@@ -303,6 +305,7 @@
             lanes: Default::default(),
             conflicts: 0,
             blinks: Default::default(),
+            meetings: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -387,11 +390,12 @@
                     self.at(delay, Happens::CloudRequest { node, life, op, request });
                 }
                 Effect::Order { machine, orders, .. } => {
-                    let delay = self.delay(node);
+                    let delay = self.delay(node) + self.order_late();
                     self.at(delay, Happens::Orders { node, life, machine, orders });
                 }
                 Effect::Probe { machine, .. } => {
                     let delay = 2 * self.delay(node);
+                    let cut = self.machine_cut(&machine);
                     let (troubles, now) = (&self.troubles, self.now);
                     let hangs = self.hung.get(&machine).is_some_and(|until| *until > now);
                     let said = self.workers.get_mut(&machine).and_then(|w| {
@@ -399,6 +403,7 @@
                             && !troubles.is_deaf(w, now)
                             && delay < 1000;
                         // Before it is up it answers nobody.
+                        let reached = reached && !cut;
                         let there = reached && !hangs && w.renewed <= now;
                         there.then(|| w.report()).map(|r| (r.session, r.seq))
                     });
@@ -448,6 +453,7 @@
                     let request = Happens::StoreRequest { node, life, op, request, answered };
                     return self.at(ms, request);
                 }
+                let is_txn = matches!(request, StoreRequest::Txn(_));
                 let reply = if self.outage > self.now
                     || self.store_cut[node] > self.now
                     || self.troubles.refused_apart(node, self.now)
@@ -460,7 +466,8 @@
                     self.blinks_now(&due);
                 }
                 if answered {
-                    let delay = self.delay(node) + self.slow_answers[node];
+                    let late = self.slow_answers[node] + self.commit_late(node, is_txn);
+                    let delay = self.delay(node) + late;
                     let event = Box::new(Event::Store { op, reply });
                     self.at(delay, Happens::Node(node, life, event));
                 }
@@ -554,8 +561,10 @@
                     return self.at(until, Happens::Orders { node, life, machine, orders });
                 }
                 self.wake(&machine);
+                let cut = self.machine_cut(&machine);
+                let lost = self.order_answer_lost();
                 let Some(worker) = self.workers.get_mut(&machine) else { return };
-                if self.troubles.is_deaf(worker, now) {
+                if cut || self.troubles.is_deaf(worker, now) {
                     let event = Box::new(Event::Ordered { machine, report: None });
                     return self.at(4000, Happens::Node(node, life, event));
                 }
@@ -566,7 +575,7 @@
                 if let Some((happenings, report)) = report {
                     self.judge(&machine, happenings);
                     self.wake(&machine);
-                    let event = Event::Ordered { machine, report: Some(report) };
+                    let event = Event::Ordered { machine, report: Some(report).filter(|_| !lost) };
                     let delay = self.delay(node);
                     self.at(delay, Happens::Node(node, life, Box::new(event)));
                 }
