A cancelled job in parts isn't stopped on machines that repeat themselves: failing test

A cancellation changes the head alone, the claims are in the parts: claims_stamp stays, and the shortcut for repeated reports orders nothing. The cure is in mirror.rs or workers.rs (maintainer).

--- /dev/null
+++ b/crates/cleatfold-control/tests/repeats.rs
@@ -0,0 +1,45 @@
+//! Reports that repeat the last one's list of tasks, letter by letter: what calls for a command all the same.
+
+use cleatfold_control::Request;
+use cleatfold_lab::world::{Asked, Size, World, NODES};
+use cleatfold_wire::job::{JobSpec, Kind, Urgency};
+use cleatfold_wire::*;
+
+fn region(seed: u64) -> World {
+    World::sized(seed, false, Size { most_jobs: 0, ..Size::SMALL })
+}
+
+/// Tasks that run for minutes and say nothing new meanwhile.
+fn long(world: &mut World, tasks: u32, cpus: f64) -> JobSpec {
+    let mut spec = world.some_job();
+    (spec.team, spec.urgency, spec.kind) = (TeamId::new("free"), Urgency::Normal, Kind::Array);
+    (spec.tasks, spec.cpus, spec.memory_gb, spec.estimate_s) = (tasks, cpus, 0.1, 300.0);
+    (spec.one_zone, spec.spread, spec.types, spec.zone) = (false, false, None, None);
+    (spec.spot, spec.checkpoint_s, spec.elastic) = (true, 0.0, None);
+    spec
+}
+
+fn withdraw(world: &mut World, node: usize, job: &JobId) {
+    world.jobs.get_mut(job).expect("known").cancel_asked = true;
+    world.ask(node, Asked::Withdraw(job.clone()), Request::Withdraw(job.clone()));
+}
+
+/// A job's cancellation changes its record alone, not those of its parts, where the claims of a job in parts are:
+/// no machine's claims change, and its workers, that repeat themselves, were not told to stop.
+#[test]
+fn a_cancelled_job_in_parts_is_stopped_on_machines_that_repeat_themselves() {
+    for (seed, tasks) in [(1, 20), (2, 300)] {
+        let mut world = region(seed);
+        world.run(Ms(4000));
+        let spec = long(&mut world, tasks, if tasks > 256 { 0.2 } else { 1.0 });
+        let job = world.submit(0, spec);
+        world.run(Ms(60_000));
+        let runs = |world: &World| world.running.keys().filter(|t| t.job == job).count();
+        assert_eq!(runs(&world), tasks as usize, "all of it runs");
+        withdraw(&mut world, 1 % NODES, &job);
+        world.run(Ms(70_000));
+        assert!(world.jobs[&job].cancel_told.is_some());
+        assert_eq!(runs(&world), 0, "{tasks} tasks: still there after the next reports");
+        assert!(world.broken.is_empty(), "{:#?}", world.broken);
+    }
+}
