--- a/crates/cleatfold-control/src/duties.rs
+++ b/crates/cleatfold-control/src/duties.rs
@@ -6,6 +6,7 @@
 use cleatfold_duties::Duty;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
+use std::collections::BTreeSet;
 
 impl Node {
     /// Ours, by what was read last. Whatever is done under it outside the state service has to be
@@ -80,34 +81,27 @@
         }
     }
 
-    /// Parts whose job is gone are removed a few at a time.
+    /// Parts whose job is gone are removed a few at a time. That it is gone is guarded: what is there of a
+    /// job that we have only not read yet holds its claims.
     fn clean_up(&mut self) {
         if self.cleanup_inflight || !self.in_contact() {
             return;
         }
+        let parts = self.mirror.parts.iter().flat_map(|(id, parts)| {
+            parts.iter().map(move |(part, record)| (id, part_key(id, *part), record.0))
+        });
+        let progress = self.mirror.progress.iter().flat_map(|(id, parts)| {
+            parts.iter().map(move |(part, record)| (id, progress_key(id, *part), record.0))
+        });
+        let gone = parts.chain(progress).filter(|(id, ..)| !self.mirror.jobs.contains_key(*id));
         let mut txn = Txn::default();
-        'jobs: for (id, parts) in &self.mirror.parts {
-            if self.mirror.jobs.contains_key(id) {
-                continue;
-            }
-            for (part, (version, _)) in parts {
-                if txn.changes.len() >= self.cfg.txn_ops.min(8) {
-                    break 'jobs;
-                }
-                txn.guard(part_key(id, *part), *version);
-                txn.delete(part_key(id, *part));
-            }
-        }
-        for (id, parts) in &self.mirror.progress {
-            if self.mirror.jobs.contains_key(id) {
-                continue;
-            }
-            for (part, (version, _)) in parts {
-                if txn.changes.len() < self.cfg.txn_ops.min(8) {
-                    txn.guard(progress_key(id, *part), *version);
-                    txn.delete(progress_key(id, *part));
-                }
+        let mut jobs = BTreeSet::new();
+        for (id, key, version) in gone.take(self.cfg.txn_ops.min(8)) {
+            if jobs.insert(id) {
+                txn.guard(job_key(id), Version(0));
             }
+            txn.guard(key.clone(), version);
+            txn.delete(key);
         }
         if !txn.changes.is_empty() {
             let Some(epoch) = self.epoch(Duty::Tidy) else { return };
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -387,7 +387,11 @@
             None => done >= record.spec.tasks,
         };
         let finished = all_done && !record.aborted;
-        let over = finished || (record.aborted && claimed == 0);
+        // Claims in parts don't change the record: others may have made some that we have not read, up to its
+        // cancellation. Whoever has read that has read all of them.
+        let all_read =
+            !record.in_parts() || (live.record.aborted && live.version <= self.mirror.applied);
+        let over = finished || (record.aborted && claimed == 0 && all_read);
         let mut part_results = Vec::new();
         for (part, table) in touched {
             let version = parts.and_then(|p| p.get(&part)).map(|p| p.0).unwrap_or_default();
--- a/crates/cleatfold-control/src/steps.rs
+++ b/crates/cleatfold-control/src/steps.rs
@@ -187,8 +187,8 @@
         let steps = self.mirror.progress.keys();
         let steps =
             steps.filter(|id| live(id).is_some_and(|l| l.is_complete() && !l.record.aborted));
-        let parts = self.mirror.parts.keys();
-        let parts = parts.filter(|id| live(id).is_some_and(|l| l.record.aborted));
+        let parts = self.mirror.jobs.iter().filter(|(_, l)| l.record.aborted && l.claimed == 0);
+        let parts = parts.filter(|(_, l)| l.record.in_parts()).map(|(id, _)| id);
         let over: Vec<JobId> =
             steps.chain(parts).filter(|id| self.keeper(id) == self.cfg.me).cloned().collect();
         for job in over {
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -6,6 +6,7 @@
 mod blinks;
 mod drawn;
 mod lanes;
+mod late;
 mod look;
 mod polls;
 mod services;
@@ -19,6 +20,7 @@
 
 pub use blinks::{Back, Blink, Moment, Step, Who};
 pub use drawn::Trouble;
+pub use late::Purpose;
 pub use polls::TurnedAway;
 pub use size::{node_id, team_id, Size, NODES};
 pub use sizes::SizeRow;
@@ -234,6 +236,7 @@
     /// Changes that came too late.
     pub conflicts: u32,
     pub blinks: blinks::Blinks,
+    pub late: late::Late,
 }
 
 impl World {
@@ -300,6 +303,7 @@
             lanes: Default::default(),
             conflicts: 0,
             blinks: Default::default(),
+            late: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -363,6 +367,7 @@
                 Effect::Reply { rid, response } => self.on_reply(node, rid, response),
                 Effect::Store { op, request, .. } => {
                     let mut delay = self.delay(node) + self.troubles.held_apart(node, self.now);
+                    delay += self.late_by(&request);
                     let lost = self.trouble && self.rng.random_bool(0.01);
                     if lost && self.rng.random_bool(0.5) {
                         // It arrives, but long after its sender gave up.
@@ -444,6 +449,7 @@
                     let request = Happens::StoreRequest { node, life, op, request, answered };
                     return self.at(ms, request);
                 }
+                let late = (!answered).then(|| late::purpose(&request)).flatten();
                 let reply = if self.outage > self.now
                     || self.store_cut[node] > self.now
                     || self.troubles.refused_apart(node, self.now)
@@ -452,6 +458,7 @@
                 } else {
                     self.execute(request)
                 };
+                self.note_late(late, &reply);
                 if let Some(due) = due.filter(blinks::is_after) {
                     self.blinks_now(&due);
                 }
--- a/crates/cleatfold-standin/src/store.rs
+++ b/crates/cleatfold-standin/src/store.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Keys whose lease has ended.
+    pub fn beyond_lease(&self) -> impl Iterator<Item = &str> {
+        let ended = |e: &Entry| e.lease.is_some_and(|l| !self.leases.contains_key(&l));
+        self.entries.iter().filter(move |(_, e)| ended(e)).map(|(k, _)| k.as_str())
+    }
+
     pub fn grant(&mut self, now: Ms, ttl_ms: u64) -> LeaseId {
         self.next_lease += 1;
         let lease = LeaseId(self.next_lease);
