--- a/crates/cleatfold-control/tests/late.rs
+++ b/crates/cleatfold-control/tests/late.rs
@@ -208,7 +208,8 @@
 }
 
 /// A submission that nobody was answered; the user comes again, the job ends, and is gone from the live ones. Seen to
-/// fail without the guard of the archive's absence (a live record beside the archived one).
+/// fail without the guard of the archive's absence (a live record beside the archived one), and without that of the live
+/// record's.
 #[test]
 fn a_late_submission_of_a_job_that_has_ended_is_refused() {
     for cancelled in [false, true] {
@@ -221,6 +222,7 @@
         assert!(!world.jobs[&job].accepted, "told that it is not known");
         submit_again(&mut world, 1, &spec);
         wait_for(&mut world, 30, |w| w.store.get(&job_key(&job)).is_some());
+        assert_eq!(refused_by(&mut world, &txn), [job_key(&job)], "while it lives");
         if cancelled {
             cancel(&mut world, 2, &job);
         }
--- a/crates/cleatfold-control/tests/repeats.rs
+++ b/crates/cleatfold-control/tests/repeats.rs
@@ -1,8 +1,10 @@
-//! Reports that repeat the last one's list of tasks, letter by letter: what calls for a command all the same.
+//! Reports that repeat the last one's list of tasks, letter by letter: what calls for a command all the same. And
+//! reports of an earlier session, about an attempt that has been started once more.
 
 use cleatfold_control::Request;
-use cleatfold_lab::world::{Asked, Size, World, NODES};
+use cleatfold_lab::world::{Asked, Happens, Size, World, NODES};
 use cleatfold_wire::job::{JobSpec, Kind, Urgency};
+use cleatfold_wire::worker::{Exit, TaskState};
 use cleatfold_wire::*;
 
 fn region(seed: u64) -> World {
@@ -43,3 +45,39 @@
         assert!(world.broken.is_empty(), "{:#?}", world.broken);
     }
 }
+
+/// A machine that comes back without its tasks is ordered them again under the same attempts. What it had said of these
+/// attempts in its earlier session, and comes only now, ends nothing: the claims are those of tasks that run. (Seen to
+/// fail when reports are taken in whatever order they come.)
+#[test]
+fn an_exit_of_an_earlier_session_ends_no_attempt_that_was_started_again() {
+    for exit in [Exit::Stopped, Exit::NoRoom, Exit::Busy, Exit::Unknown, Exit::Error] {
+        let mut world = region(3);
+        world.run(Ms(4000));
+        let spec = long(&mut world, 1, 1.0);
+        let job = world.submit(0, spec);
+        world.run(Ms(30_000));
+        let task = TaskId { job: job.clone(), ix: TaskIx(0) };
+        let machine = world.running.get(&task).expect("it runs").clone();
+        let pool = world.pool_of(&machine).expect("it is there");
+        let owner = world.holder(&pool).expect("held");
+        let claims = world.claims();
+        // Never arrived: the task had ended by itself.
+        let mut late = world.workers.get_mut(&machine).expect("there").report();
+        for told in &mut late.tasks {
+            (told.state, told.why) = (TaskState::Exited, Some(exit));
+        }
+        world.anew(&machine);
+        assert!(!world.running.contains_key(&task));
+        world.run(Ms(36_000));
+        assert_eq!(world.running.get(&task), Some(&machine), "started once more");
+        assert_eq!(world.claims(), claims, "under the same attempt");
+        for node in [owner, (owner + 1) % NODES] {
+            world.at(0, Happens::Copy(node, Box::new(late.clone())));
+        }
+        world.run(Ms(50_000));
+        assert_eq!(world.claims(), claims, "{exit:?}");
+        assert_eq!(world.running.get(&task), Some(&machine));
+        assert!(world.broken.is_empty(), "{:#?}", world.broken);
+    }
+}
