--- a/crates/cleatfold-control/tests/late.rs
+++ b/crates/cleatfold-control/tests/late.rs
@@ -192,6 +192,45 @@
     world.ask(node, Asked::Withdraw(job.clone()), Request::Withdraw(job.clone()));
 }
 
+/// The first of each of these is guarded by the absence of a key that stays: it comes when somebody has written that.
+/// Seen to fail without the version in each of them.
+#[test]
+fn a_late_one_is_refused_once_its_key_was_written() {
+    for kind in [
+        Purpose::Deal,
+        Purpose::Slice,
+        Purpose::Workspace,
+        Purpose::History,
+        Purpose::LossLog,
+        Purpose::Rents,
+        Purpose::Allotment,
+    ] {
+        let size = Size { machines: 30, most_jobs: 700, pause_ms: 130, ..Size::SMALL };
+        let mut world = World::sized(7, false, size);
+        keep(&mut world, kind);
+        let txn = loop {
+            if let Some(txn) = world.late.kept.take() {
+                break txn;
+            }
+            assert!(world.now < Ms(120_000), "no {kind:?}");
+            if let Some(machine) = world.running.values().next().cloned() {
+                if kind == Purpose::LossLog && world.now.0 % 10_000 < 500 {
+                    world.at(0, Happens::Die(machine));
+                }
+            }
+            run_for(&mut world, 500);
+        };
+        // A group of a log is written beside its head, which guards it.
+        let put: Vec<String> = txn.changes.iter().filter_map(|c| c.put.clone()).collect();
+        let guarded = put.iter().filter(|k| txn.guards.iter().any(|g| g.key == **k));
+        let guarded: Vec<String> = guarded.cloned().collect();
+        assert!(!guarded.is_empty(), "{kind:?} is not guarded by what it writes");
+        wait_for(&mut world, 60, |w| guarded.iter().all(|k| w.store.get(k).is_some()));
+        let refused = refused_by(&mut world, &txn);
+        assert!(guarded.iter().any(|k| refused.contains(k)), "{kind:?}: {refused:?}");
+    }
+}
+
 /// The kept transaction comes now. Which guards refuse it?
 fn comes(world: &mut World, txn: &Txn) -> Result<Version, Refusal> {
     let came = world.store.txn(txn);
