--- a/crates/cleatfold-control/tests/late.rs
+++ b/crates/cleatfold-control/tests/late.rs
@@ -193,7 +193,7 @@
 }
 
 /// The first of each of these is guarded by the absence of a key that stays: it comes when somebody has written that.
-/// Seen to fail without the version in each of them.
+/// Seen to fail without the version in dealing, which no day misses.
 #[test]
 fn a_late_one_is_refused_once_its_key_was_written() {
     for kind in [
