--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -6,6 +6,7 @@
 mod blinks;
 mod drawn;
 mod lanes;
+mod late;
 mod look;
 mod meetings;
 mod polls;
@@ -20,6 +21,7 @@
 
 pub use blinks::{Back, Blink, Moment, Step, Who};
 pub use drawn::Trouble;
+pub use late::Purpose;
 pub use polls::TurnedAway;
 pub use size::{node_id, team_id, Size, NODES};
 pub use sizes::SizeRow;
@@ -238,6 +240,7 @@
     pub conflicts: u32,
     pub blinks: blinks::Blinks,
     pub meetings: meetings::Meetings,
+    pub late: late::Late,
 }
 
 impl World {
@@ -306,6 +309,7 @@
             conflicts: 0,
             blinks: Default::default(),
             meetings: Default::default(),
+            late: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -369,6 +373,7 @@
                 Effect::Reply { rid, response } => self.on_reply(node, rid, response),
                 Effect::Store { op, request, .. } => {
                     let mut delay = self.delay(node) + self.troubles.held_apart(node, self.now);
+                    delay += self.late_by(&request);
                     let lost = self.trouble && self.rng.random_bool(0.01);
                     if lost && self.rng.random_bool(0.5) {
                         // It arrives, but long after its sender gave up.
@@ -454,6 +459,7 @@
                     return self.at(ms, request);
                 }
                 let is_txn = matches!(request, StoreRequest::Txn(_));
+                let late = (!answered).then(|| late::purpose(&request)).flatten();
                 let reply = if self.outage > self.now
                     || self.store_cut[node] > self.now
                     || self.troubles.refused_apart(node, self.now)
@@ -462,6 +468,7 @@
                 } else {
                     self.execute(request)
                 };
+                self.note_late(late, &reply);
                 if let Some(due) = due.filter(blinks::is_after) {
                     self.blinks_now(&due);
                 }
