Claims explored: acceptance to archive in every order, each guard left out in turn

Two controllers, one pool, one or two machines and tasks, late transactions, copies of reports, restarts, leases and the bound of a cancellation, all states within small bounds. The exploration found that an exit which a new owner records before the worker has seen its token lets the former owner start the same attempt once more in the worker's next session; the model has that guard (SeenForExits), the code lacks it.

--- /dev/null
+++ b/crates/cleatfold-control/tests/claims/model.rs
@@ -0,0 +1,336 @@
+//! The states: what the state service holds, what controllers have read and remember, what is on the
+//! machines, what is on its way.
+
+use cleatfold_control::records::Table;
+use cleatfold_wire::{Attempt, MachineId, PoolId, TaskIx, Token};
+
+pub const NODES: usize = 2;
+pub const MACHINES: usize = 2;
+pub const TASKS: usize = 2;
+
+/// What may be left out, one at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Guard {
+    JobInClaims,
+    PoolInClaims,
+    PoolInReleases,
+    /// Absence counts only once the worker has seen our token.
+    SeenToken,
+    /// The exit of a former owner's claim, too: else that owner, which may not know of it, can start the same
+    /// attempt once more in the worker's next session.
+    SeenForExits,
+    /// Only a report newer than all that were read shows absence.
+    Newest,
+    /// A restarted controller does not own what its former life was dealt.
+    Incarnation,
+    /// What is being recorded as ended is not launched again.
+    NotEnding,
+    /// Only claims under the present token are launched.
+    OwnToken,
+    /// An exit isn't recorded while another attempt of the task is alive in the same report.
+    ExitAlone,
+    /// `reap` only for exits whose end is durable.
+    DurableReap,
+    /// A submission is guarded by the absence of the job's archive record.
+    ArchiveAbsence,
+    /// Nothing of a cancelled job is launched.
+    NotCancelled,
+    /// What runs of a cancelled job is stopped.
+    Stops,
+    /// A controller that does not read stops answering workers in time.
+    DeafLimit,
+    /// A poll is answered by a reading sent after it came.
+    FreshPolls,
+}
+
+/// How far the search goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    pub name: &'static str,
+    pub tasks: usize,
+    pub machines: usize,
+    pub tokens: u8,
+    /// Restarts of the first controller, of the second one.
+    pub restarts: [u8; NODES],
+    /// Sessions of each machine.
+    pub sessions: u8,
+    pub attempts: u8,
+    /// Transactions that get no answer, or whose sender restarts.
+    pub late: u8,
+    /// Reports of which a copy is kept, to be read any number of times.
+    pub copies: u8,
+    /// Tasks may fail; machines may be emptied.
+    pub failures: bool,
+    pub drains: bool,
+    pub cancel: bool,
+    /// Submissions; none: the job was accepted before.
+    pub submissions: u8,
+    pub polls: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Task {
+    Free { last: u8 },
+    Claimed { machine: u8, token: u8, attempt: u8 },
+    Done,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Job {
+    pub version: u8,
+    pub aborted: bool,
+    pub tasks: [Task; TASKS],
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Pool {
+    pub owner: u8,
+    pub life: u8,
+    pub token: u8,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Ended {
+    Done,
+    Aborted,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Store {
+    pub job: Option<Job>,
+    /// Versions given to the job's key.
+    pub versions: u8,
+    pub archive: Option<Ended>,
+    pub pool: Pool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct End {
+    pub machine: u8,
+    pub attempt: u8,
+    pub done: bool,
+    /// The token it holds under; none: a fact.
+    pub fence: Option<u8>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Outcome {
+    Live(Job),
+    Ended(Ended),
+}
+
+/// A transaction: its guards and what it writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Tx {
+    /// The job's version, 0: no such key; none: not guarded.
+    pub job: Option<u8>,
+    pub no_archive: bool,
+    pub pool: Option<u8>,
+    pub outcome: Outcome,
+    pub submission: bool,
+    /// A user waits for it to be told that the job is cancelled.
+    pub withdrawal: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Mirror {
+    pub job: Option<Job>,
+    pub pool: Pool,
+}
+
+/// What a controller remembers of a machine that it has answered under its present token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Heard {
+    pub token: u8,
+    /// The newest report carried it.
+    pub seen: bool,
+    /// The machine's session at the last answer.
+    pub session: u8,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Node {
+    pub life: u8,
+    pub mirror: Option<Mirror>,
+    pub tx: Option<Tx>,
+    pub ends: [Option<End>; TASKS],
+    pub abort: bool,
+    /// It has not read for so long that it answers no worker.
+    pub deaf: bool,
+    pub heard: [Option<Heard>; MACHINES],
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Run {
+    Alive,
+    Completed,
+    Failed,
+}
+
+/// Task, attempt, state.
+pub type Tasks = Vec<(u8, u8, Run)>;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Report {
+    pub token: u8,
+    pub tasks: Tasks,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Command {
+    Launch(u8, u8),
+    Kill(u8, u8),
+    Reap(u8, u8),
+}
+
+/// A 200 on its way to its worker, which sends nothing while it waits.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Answer {
+    pub token: u8,
+    pub commands: Vec<Command>,
+    /// The report was sent after the deaf limit.
+    pub after_limit: bool,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Machine {
+    pub session: u8,
+    pub token: u8,
+    pub tasks: Tasks,
+    pub answer: Option<Answer>,
+    /// Its lease was renewed by a report sent after the deaf limit, or its session began then.
+    pub renewed: bool,
+}
+
+/// A report that may be read again, or for the first time, at any later step.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Copied {
+    pub machine: u8,
+    pub report: Report,
+    /// Controllers that have read this one or a newer one of the machine.
+    pub old_for: [bool; NODES],
+}
+
+/// How far a cancellation is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Phase {
+    #[default]
+    Before,
+    Told,
+    /// `deaf_limit_ms` after it was told.
+    Limit,
+    /// `cancel_s` after it was told.
+    Bound,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Told {
+    #[default]
+    Nothing,
+    Accepted,
+    Done,
+    Aborted,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct State {
+    pub store: Store,
+    pub nodes: [Node; NODES],
+    pub machines: [Machine; MACHINES],
+    /// Transactions that nobody waits for any more.
+    pub late: Vec<Tx>,
+    pub lates: u8,
+    pub copy: Option<Copied>,
+    pub copies: u8,
+    pub submitted: u8,
+    pub told: Told,
+    pub phase: Phase,
+    /// Tasks that have truly completed.
+    pub completed: [bool; TASKS],
+    /// Of the job.
+    pub tasks: u8,
+    pub broken: Option<&'static str>,
+}
+
+// ---- the real table of claims ----
+
+fn machine_id(m: u8) -> MachineId {
+    MachineId::new(if m == 0 { "m0" } else { "m1" })
+}
+
+/// The record's tasks as the service's own table.
+pub struct Claims {
+    table: Table,
+    tasks: usize,
+    pool: PoolId,
+}
+
+impl Claims {
+    pub fn of(job: &Job, tasks: usize) -> Self {
+        let mut table = Table::default();
+        let pool = PoolId { machine_type: "t".into(), zone: "z".into() };
+        let mut claims = Self { table: Table::default(), tasks, pool: pool.clone() };
+        for (ix, task) in job.tasks.iter().enumerate().take(tasks) {
+            let ix = TaskIx(ix as u32);
+            match *task {
+                Task::Free { last: 0 } => {}
+                Task::Free { last } => table.attempts.push((ix, Attempt(last.into()))),
+                Task::Claimed { machine, token, attempt } => {
+                    if attempt > 1 {
+                        table.attempts.push((ix, Attempt(u64::from(attempt) - 1)));
+                    }
+                    table.claim(&machine_id(machine), Token(token.into()), &pool, ix);
+                }
+                Task::Done => {
+                    let m = machine_id(0);
+                    let attempt = table.claim(&m, Token(0), &pool, ix);
+                    assert!(table.end(&m, ix, attempt, true));
+                }
+            }
+        }
+        claims.table = table;
+        claims
+    }
+
+    pub fn end(&mut self, ix: usize, end: &End) -> bool {
+        let attempt = Attempt(end.attempt.into());
+        self.table.end(&machine_id(end.machine), TaskIx(ix as u32), attempt, end.done)
+    }
+
+    pub fn free(&self) -> Vec<TaskIx> {
+        self.table.free(0, self.tasks as u32)
+    }
+
+    pub fn claim(&mut self, machine: u8, token: u8, ix: TaskIx) -> u8 {
+        let attempt = self.table.claim(&machine_id(machine), Token(token.into()), &self.pool, ix);
+        attempt.0 as u8
+    }
+
+    pub fn all_done(&self) -> bool {
+        self.table.done_count() as usize == self.tasks
+    }
+
+    pub fn none_claimed(&self) -> bool {
+        self.table.claims.is_empty()
+    }
+
+    pub fn tasks(&self) -> [Task; TASKS] {
+        let mut tasks = [Task::Free { last: 0 }; TASKS];
+        for (ix, last) in &self.table.attempts {
+            tasks[ix.0 as usize] = Task::Free { last: last.0 as u8 };
+        }
+        for group in &self.table.claims {
+            let machine = u8::from(group.machine == machine_id(1));
+            for (ix, attempt) in &group.tasks {
+                let (token, attempt) = (group.token.0 as u8, attempt.0 as u8);
+                tasks[ix.0 as usize] = Task::Claimed { machine, token, attempt };
+            }
+        }
+        for (ix, task) in tasks.iter_mut().enumerate().take(self.tasks) {
+            if self.table.is_done(TaskIx(ix as u32)) {
+                *task = Task::Done;
+            }
+        }
+        tasks
+    }
+}
