--- a/crates/cleatfold-lab/src/days.rs
+++ b/crates/cleatfold-lab/src/days.rs
@@ -1,21 +1,23 @@
 //! Days of a simulated region on which several controllers fail at once and every trouble is
 //! drawn, watched for all rules.
 
+use crate::pairs::{self, Pair};
 use crate::world::{Size, SizeRow, Trouble, World};
+use clap::builder::RangedU64ValueParser;
 use cleatfold_wire::Ms;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
 #[derive(Clone, Debug, clap::Args)]
 pub struct Plan {
-    #[arg(long, default_value_t = 3)]
+    #[arg(long, default_value_t = 3, value_parser = count())]
     pub nodes: usize,
-    #[arg(long, default_value_t = 4)]
+    #[arg(long, default_value_t = 4, value_parser = count())]
     pub teams: usize,
-    #[arg(long, default_value_t = 24)]
+    #[arg(long, default_value_t = 24, value_parser = count())]
     pub machines: usize,
-    /// How many days.
-    #[arg(long, default_value_t = 50)]
+    /// How many days; with --pairs, of each pair.
+    #[arg(long, default_value_t = 50, value_parser = clap::value_parser!(u64).range(1..))]
     pub seeds: u64,
     /// The first of them.
     #[arg(long, default_value_t = 1)]
@@ -27,13 +29,30 @@
     #[arg(long, value_delimiter = ',')]
     pub only: Vec<Trouble>,
     /// Days that are played at the same time.
-    #[arg(long, default_value_t = 4)]
+    #[arg(long, default_value_t = 4, value_parser = count())]
     pub threads: usize,
+    /// Play every ordered pair of troubles (of --only, if given), each on days of its own.
+    #[arg(long)]
+    pub pairs: bool,
+    /// Play this pair alone, as `blink,outage`.
+    #[arg(long, conflicts_with_all = ["pairs", "only"])]
+    pub pair: Option<Pair>,
     /// Say of each day what befell.
     #[arg(long)]
     pub verbose: bool,
 }
 
+fn count() -> RangedU64ValueParser<usize> {
+    RangedU64ValueParser::new().range(1..=10_000)
+}
+
+impl Plan {
+    pub fn region(&self) -> Size {
+        let Plan { nodes, teams, machines, .. } = *self;
+        Size { nodes, teams, machines, ..Size::SMALL }
+    }
+}
+
 impl Default for Plan {
     fn default() -> Self {
         Self {
@@ -45,6 +64,8 @@
             troubles: 16,
             only: Vec::new(),
             threads: 1,
+            pairs: false,
+            pair: None,
             verbose: false,
         }
     }
@@ -69,14 +90,8 @@
 const TROUBLES: (Ms, Ms) = (Ms(8_000), Ms(130_000));
 const END: Ms = Ms(600_000);
 
-pub fn play(plan: &Plan, seed: u64) -> Day {
-    let size =
-        Size { nodes: plan.nodes, teams: plan.teams, machines: plan.machines, ..Size::SMALL };
-    let mut world = World::sized(seed, false, size);
-    let kinds = if plan.only.is_empty() { Trouble::ALL } else { &plan.only };
-    world.poll_everything();
-    world.draw_troubles(kinds, TROUBLES.0, TROUBLES.1, plan.troubles);
-    world.run(END);
+/// What was broken on a day that is over.
+pub(crate) fn verdict(world: &mut World) -> Vec<String> {
     let mut broken = std::mem::take(&mut world.broken);
     broken.extend(world.unfinished().iter().map(|job| format!("{job} has not ended")));
     let sizes = world.sizes();
@@ -85,6 +100,17 @@
     if world.started == 0 {
         broken.push("nothing_ran".into());
     }
+    broken
+}
+
+pub fn play(plan: &Plan, seed: u64) -> Day {
+    let mut world = World::sized(seed, false, plan.region());
+    let kinds = if plan.only.is_empty() { Trouble::ALL } else { &plan.only };
+    world.poll_everything();
+    world.draw_troubles(kinds, TROUBLES.0, TROUBLES.1, plan.troubles);
+    world.run(END);
+    let broken = verdict(&mut world);
+    let sizes = world.sizes();
     let befell = world.troubles.befell.iter();
     let befell = befell.map(|(at, what, until)| format!("{} {what:?} until {}", at.0, until.0));
     Day {
@@ -101,13 +127,16 @@
 
 /// Plays all days; true if no rule was broken.
 pub fn run(plan: &Plan) -> bool {
+    if plan.pairs || plan.pair.is_some() {
+        return pairs::run(plan);
+    }
     let next = AtomicU64::new(plan.seed);
     let days = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
-        for _ in 0..plan.threads.max(1) {
+        for _ in 0..plan.threads {
             scope.spawn(|| loop {
                 let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= plan.seed + plan.seeds {
+                if seed >= plan.seed.saturating_add(plan.seeds) {
                     break;
                 }
                 let day = play(plan, seed);
--- a/crates/cleatfold-lab/src/lib.rs
+++ b/crates/cleatfold-lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod elastic;
 pub mod history;
 pub mod nodes;
+pub mod pairs;
 pub mod region;
 pub mod scale;
 pub mod team;
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -5,8 +5,10 @@
 
 mod blinks;
 mod drawn;
+mod insistent;
 mod lanes;
 mod look;
+mod meetings;
 mod polls;
 mod services;
 mod size;
@@ -18,9 +20,9 @@
 mod workers;
 
 pub use blinks::{Back, Blink, Moment, Step, Who};
-pub use drawn::Trouble;
+pub use drawn::{Aim, Trouble};
 pub use polls::TurnedAway;
-pub use size::{node_id, team_id, Size, NODES};
+pub use size::{node_id, team_id, Size, Times, NODES};
 pub use sizes::SizeRow;
 
 use crate::history::StepWatch;
@@ -85,6 +87,17 @@
     /// A controller's incarnation goes on after it stood still.
     Thaw(usize, u32),
     Restart(usize),
+    /// A controller ends, and is back after so long.
+    Ends {
+        node: usize,
+        back_ms: u64,
+    },
+    /// It ends again once one of these pools has another token.
+    OnceMoved {
+        node: usize,
+        tokens: BTreeMap<PoolId, Option<Version>>,
+        until: Ms,
+    },
     Cut {
         node: usize,
         until: Ms,
@@ -99,6 +112,10 @@
     Die(MachineId),
     /// One of the drawn troubles, who it befalls being drawn now.
     Befalls(Trouble, u64),
+    /// The same, befalling whom the pair of troubles says.
+    Meets(Trouble, u64, Aim),
+    /// Users that submit and cancel all the time.
+    Insists,
     /// A copy of a report comes to a controller; nobody waits for the answer.
     Copy(usize, Box<Report>),
     /// A user asks about a job that it has submitted.
@@ -123,6 +140,8 @@
         life: u32,
         machine: MachineId,
         orders: Orders,
+        /// Whether the controller still waits for the answer.
+        answered: bool,
     },
 }
 
@@ -234,6 +253,8 @@
     /// Changes that came too late.
     pub conflicts: u32,
     pub blinks: blinks::Blinks,
+    pub meetings: meetings::Meetings,
+    pub insistent: insistent::Insistent,
 }
 
 impl World {
@@ -300,6 +321,8 @@
             lanes: Default::default(),
             conflicts: 0,
             blinks: Default::default(),
+            meetings: Default::default(),
+            insistent: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -368,15 +391,20 @@
                         // It arrives, but long after its sender gave up.
                         delay += self.rng.random_range(1000..20_000);
                     }
-                    if lost || delay > 1500 {
+                    let (there, back) = self.lateness(&request);
+                    delay += there;
+                    let answered = !lost && delay + back <= meetings::STORE_MS;
+                    if !answered {
                         let reply = match request {
                             StoreRequest::Txn(_) => StoreReply::Unknown,
                             _ => StoreReply::Refused,
                         };
                         let event = Box::new(Event::Store { op, reply });
-                        self.at(1500, Happens::Node(node, life, event));
+                        self.at(meetings::STORE_MS, Happens::Node(node, life, event));
+                    }
+                    if answered && back > 0 {
+                        self.meetings.back.insert((node, life, op), back);
                     }
-                    let answered = !(lost || delay > 1500);
                     self.at(delay, Happens::StoreRequest { node, life, op, request, answered });
                 }
                 Effect::Cloud { op, request, .. } => {
@@ -385,7 +413,8 @@
                 }
                 Effect::Order { machine, orders, .. } => {
                     let delay = self.delay(node);
-                    self.at(delay, Happens::Orders { node, life, machine, orders });
+                    let order = Happens::Orders { node, life, machine, orders, answered: true };
+                    self.at(delay, order);
                 }
                 Effect::Probe { machine, .. } => {
                     let delay = 2 * self.delay(node);
@@ -456,7 +485,8 @@
                     self.blinks_now(&due);
                 }
                 if answered {
-                    let delay = self.delay(node) + self.slow_answers[node];
+                    let back = self.meetings.back.remove(&(node, life, op)).unwrap_or_default();
+                    let delay = self.delay(node) + self.slow_answers[node] + back;
                     let event = Box::new(Event::Store { op, reply });
                     self.at(delay, Happens::Node(node, life, event));
                 }
@@ -509,6 +539,8 @@
             Happens::Thaw(i, life) => self.thaw(i, life),
             Happens::Restart(i) if self.nodes[i].is_some() => {}
             Happens::Restart(i) => self.nodes[i] = Some(Node::new(config(i, self.size))),
+            Happens::Ends { node, back_ms } => self.crash(node, back_ms),
+            Happens::OnceMoved { node, tokens, until } => self.once_moved(node, tokens, until),
             Happens::Cut { node, until } => self.cut[node] = self.cut[node].max(until),
             Happens::StoreCut { node, until } => self.store_cut[node] = until,
             Happens::Outage { until } => {
@@ -527,6 +559,8 @@
             }
             Happens::Wake(id) => self.wake(&id),
             Happens::Befalls(trouble, for_ms) => self.befalls(trouble, for_ms),
+            Happens::Meets(trouble, for_ms, aim) => self.meets(trouble, for_ms, aim),
+            Happens::Insists => self.insists(),
             Happens::Copy(node, report) => self.copy_arrives(node, *report),
             Happens::Asks(job) => self.asks(job),
             Happens::MemberAsks { node, machine, key, number, report } => {
@@ -542,12 +576,14 @@
             Happens::MemberTold { machine, key, number, response } => {
                 self.member_told(machine, key, number, response)
             }
-            Happens::Orders { node, life, machine, orders } => {
+            held @ Happens::Orders { .. } if self.orders_held(&held) => {}
+            Happens::Orders { node, life, machine, orders, answered } => {
                 let now = self.now;
                 // A machine that hangs executes them when it carries on.
                 if let Some(until) = self.hung.get(&machine).filter(|u| **u > now) {
                     let until = until.since(now) + 1;
-                    return self.at(until, Happens::Orders { node, life, machine, orders });
+                    let order = Happens::Orders { node, life, machine, orders, answered };
+                    return self.at(until, order);
                 }
                 self.wake(&machine);
                 let Some(worker) = self.workers.get_mut(&machine) else { return };
@@ -562,6 +598,9 @@
                 if let Some((happenings, report)) = report {
                     self.judge(&machine, happenings);
                     self.wake(&machine);
+                    if !answered {
+                        return;
+                    }
                     let event = Event::Ordered { machine, report: Some(report) };
                     let delay = self.delay(node);
                     self.at(delay, Happens::Node(node, life, Box::new(event)));
--- a/crates/cleatfold-lab/src/world/drawn.rs
+++ b/crates/cleatfold-lab/src/world/drawn.rs
@@ -38,6 +38,29 @@
     DeafMany,
     /// Copies of reports come late.
     Copies,
+    /// A share of transactions gets no answer and is carried out late, after newer ones.
+    LateWrites,
+    /// The state service answers slowly.
+    Slow,
+    /// The state service refuses the controller with most machines, then everybody for longer than a
+    /// cancellation may take.
+    RefusedThenOutage,
+    /// What machines are told is held up, or they stand still and go on.
+    HeldOrders,
+    /// The controller with most machines ends, is back at once, and ends again.
+    OverAndBack,
+    /// All controllers end and one alone is back soon.
+    AllButOne,
+}
+
+/// Which controller the second of two troubles befalls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Aim {
+    Any,
+    /// The one with most machines.
+    Most,
+    /// The one that the trouble before it befell.
+    Same,
 }
 
 impl Trouble {
@@ -70,7 +93,23 @@
         Trouble::Deaf,
         Trouble::DeafMany,
         Trouble::Copies,
+        Trouble::LateWrites,
+        Trouble::Slow,
+        Trouble::RefusedThenOutage,
+        Trouble::HeldOrders,
+        Trouble::OverAndBack,
+        Trouble::AllButOne,
     ];
+
+    /// Lasts less than so long, where it does not say itself.
+    pub fn most_ms(self) -> u64 {
+        match self {
+            Trouble::Outage => 20_000,
+            Trouble::Freeze => 25_000,
+            Trouble::Deaf | Trouble::DeafMany | Trouble::Copies => 60_000,
+            _ => 45_000,
+        }
+    }
 }
 
 impl World {
@@ -80,19 +119,22 @@
         for _ in 0..count {
             let kind = kinds[self.rng.random_range(0..kinds.len())];
             let at = self.rng.random_range(from.0..until.0);
-            let most = match kind {
-                Trouble::Outage => 20_000,
-                Trouble::Freeze => 25_000,
-                Trouble::Deaf | Trouble::DeafMany | Trouble::Copies => 60_000,
-                _ => 45_000,
-            };
-            let for_ms = self.rng.random_range(1_500..most).min(until.0 - at);
+            let for_ms = self.rng.random_range(1_500..kind.most_ms()).min(until.0 - at);
             self.at(at.saturating_sub(self.now.0), Happens::Befalls(kind, for_ms));
         }
         self.troubles.drawn_until = self.troubles.drawn_until.max(until);
     }
 
-    fn some_machine(&mut self) -> Option<MachineId> {
+    pub(super) fn meets(&mut self, kind: Trouble, for_ms: u64, aim: Aim) {
+        self.meetings.aim = match aim {
+            Aim::Any => None,
+            Aim::Most => self.most(),
+            Aim::Same => self.meetings.last,
+        };
+        self.befalls(kind, for_ms);
+    }
+
+    pub(super) fn some_machine(&mut self) -> Option<MachineId> {
         // What runs something is worth more trouble.
         let busy: Vec<&MachineId> = self.running.values().collect();
         if !busy.is_empty() && self.rng.random_bool(0.7) {
@@ -104,6 +146,8 @@
 
     pub(super) fn befalls(&mut self, kind: Trouble, for_ms: u64) {
         let node = self.rng.random_range(0..self.nodes.len());
+        let node = self.meetings.aim.take().unwrap_or(node);
+        self.meetings.last = Some(node);
         let (now, until) = (self.now, self.now.plus(for_ms));
         let machine = self.some_machine();
         self.troubles.befell.push((now, kind, until));
@@ -133,6 +177,15 @@
                 let share = [0.02, 0.1, 0.4][self.rng.random_range(0..3)];
                 self.copies(share, (2_000, 3 * LEASE_MS), until);
             }
+            (
+                Trouble::LateWrites
+                | Trouble::Slow
+                | Trouble::RefusedThenOutage
+                | Trouble::HeldOrders
+                | Trouble::OverAndBack
+                | Trouble::AllButOne,
+                _,
+            ) => self.meeting(kind, node, until),
             (_, None) => {}
             (Trouble::Die, Some(machine)) => self.happen(Happens::Die(machine)),
             (Trouble::Hiccup, Some(machine)) => self.hiccup(&machine),
--- a/crates/cleatfold-lab/src/world/size.rs
+++ b/crates/cleatfold-lab/src/world/size.rs
@@ -55,6 +55,22 @@
     };
 }
 
+/// Times that the controllers and workers of a region go by.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    pub report_ms: u64,
+    pub node_ttl_ms: u64,
+    pub lease_ms: u64,
+    pub cancel_ms: u64,
+}
+
+impl Size {
+    pub fn times(&self) -> Times {
+        let Config { report_ms, node_ttl_ms, lease_ms, cancel_ms, .. } = config(0, *self);
+        Times { report_ms, node_ttl_ms, lease_ms, cancel_ms }
+    }
+}
+
 pub fn node_id(i: usize) -> NodeId {
     NodeId::new(format!("n{i}"))
 }
--- a/crates/cleatfold-lab/src/world/troubles.rs
+++ b/crates/cleatfold-lab/src/world/troubles.rs
@@ -255,6 +255,6 @@
         let copies = t.copies.iter().map(|c| c.until.plus(c.late_ms.1));
         let stores = self.cut.iter().chain(&self.store_cut).copied();
         let all = cuts.chain(deaf).chain(frozen).chain(copies).chain(stores);
-        all.chain([self.outage, t.drawn_until]).max().unwrap_or_default()
+        all.chain([self.outage, t.drawn_until, self.meetings.over]).max().unwrap_or_default()
     }
 }
--- a/crates/cleatfold-lab/src/world/workers.rs
+++ b/crates/cleatfold-lab/src/world/workers.rs
@@ -155,6 +155,11 @@
             let answer = Happens::WorkerAnswer { machine: id, number, sent, session, response };
             return self.at(until, answer);
         }
+        if let Some(until) = self.meetings.held_until(&id, now) {
+            let until = until.since(now) + 1;
+            let answer = Happens::WorkerAnswer { machine: id, number, sent, session, response };
+            return self.at(until, answer);
+        }
         let Some(link) = self.links.get_mut(&id) else { return };
         if link.waiting != Some(number) || now.since(sent) > 4000 {
             return;
