A machine that hangs past its lease has no tasks any more

The world let them count as running until it went on, so a task that was started elsewhere once the lease had provably run out passed for a second run. Within the lease nothing changes.

--- a/crates/cleatfold-lab/src/world/watch.rs
+++ b/crates/cleatfold-lab/src/world/watch.rs
@@ -123,7 +123,8 @@
                     absences += 1;
                     let pool = format!("cf/pool/{}", group.pool);
                     if !txn.guards.iter().any(|g| g.key == pool) {
-                        unfenced.push(format!("{:?} {task} released unfenced", self.now));
+                        let (now, machine) = (self.now, &group.machine);
+                        unfenced.push(format!("{now:?} {task} on {machine} released unfenced"));
                     }
                 }
             }
--- a/crates/cleatfold-lab/src/world/workers.rs
+++ b/crates/cleatfold-lab/src/world/workers.rs
@@ -29,16 +29,25 @@
         }
     }
 
-    /// A machine that hangs executes nothing; it carries on where it was.
+    /// A machine that hangs executes nothing; it carries on where it was, but only within its lease:
+    /// when that has run out, its tasks are gone whether it goes on or not.
     pub(super) fn hangs(&mut self, id: &MachineId) -> bool {
-        match self.hung.get(id) {
-            Some(until) if *until > self.now => {
-                let until = until.since(self.now);
-                self.at(until, Happens::Wake(id.clone()));
-                true
-            }
-            _ => false,
-        }
+        let now = self.now;
+        let Some(until) = self.hung.get(id).copied().filter(|until| *until > now) else {
+            return false;
+        };
+        let mut next = until;
+        if let Some(worker) = self.workers.get_mut(id) {
+            let over = |w: &Worker| w.renewed.plus(w.lease_ms + 1);
+            let lost = match over(worker) <= now {
+                true => worker.begin_anew(now),
+                false => Vec::new(),
+            };
+            next = next.min(over(worker));
+            self.judge(id, lost);
+        }
+        self.at(next.since(now).max(1), Happens::Wake(id.clone()));
+        true
     }
 
     pub(super) fn member_asks(&mut self, id: &MachineId, key: MemberKey, report: StepReport) {
