--- a/crates/cleatfold-lab/src/pairs.rs
+++ b/crates/cleatfold-lab/src/pairs.rs
@@ -126,7 +126,11 @@
             break;
         }
     }
-    let broken = crate::days::verdict(&mut world);
+    // A day that is broken off says nothing about what would have ended.
+    let broken = match world.broken.len() > 3 {
+        true => std::mem::take(&mut world.broken),
+        false => crate::days::verdict(&mut world),
+    };
     let over = world.troubles_over();
     let within = |at: &Ms| *at >= Ms(first) && *at <= over;
     let cancelled = world.jobs.values().filter_map(|j| j.cancel_told).filter(within).count();
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -237,6 +237,8 @@
     /// When changes reached the state service, and how many.
     pub changes: Vec<(Ms, usize)>,
     pub booted: usize,
+    /// Machines that were ever rented.
+    ever_up: BTreeSet<MachineId>,
     pub trouble: bool,
     pub started: u32,
     pub absences: u32,
@@ -308,6 +310,7 @@
             size,
             changes: Vec::new(),
             booted: 0,
+            ever_up: BTreeSet::new(),
             trouble,
             started: 0,
             absences: 0,
--- /dev/null
+++ b/crates/cleatfold-lab/tests/pairs.rs
@@ -0,0 +1,138 @@
+//! A few pairs of troubles, the second around a time that means something to the first; every
+//! ordered pair by the command `region --pairs`.
+
+use clap::error::ErrorKind;
+use clap::Args;
+use cleatfold_lab::days::Plan;
+use cleatfold_lab::pairs::{play, Pair};
+use cleatfold_lab::world::{Happens, Size, Trouble, World};
+use cleatfold_wire::Ms;
+
+fn meet(
+    pairs: &[(Trouble, Trouble)],
+    seeds: std::ops::Range<u64>,
+) -> Vec<cleatfold_lab::pairs::Met> {
+    let plan = Plan::default();
+    let mut met = Vec::new();
+    for &(a, b) in pairs {
+        for seed in seeds.clone() {
+            let day = play(&plan, Pair(a, b), seed);
+            assert!(
+                day.broken.is_empty(),
+                "{} seed {seed}: {:#?} after {:#?}",
+                day.pair,
+                day.broken,
+                day.befell
+            );
+            assert!(day.started > 50 && day.running.0.min(day.running.1) > 0, "{day:?}");
+            assert!(day.longest_ms < 75_000, "{day:?}");
+            met.push(day);
+        }
+    }
+    let cancelled: usize = met.iter().map(|m| m.cancelled).sum();
+    assert!(cancelled > met.len(), "only {cancelled} cancellations while they lasted");
+    met
+}
+
+#[test]
+fn a_refused_controller_and_an_outage_meet_others() {
+    use Trouble::*;
+    meet(
+        &[(RefusedThenOutage, Kill), (Deaf, RefusedThenOutage), (RefusedThenOutage, Freeze)],
+        1..2,
+    );
+    // A repeated request for a rental brought machines back that had been returned.
+    meet(&[(RefusedThenOutage, Deaf), (RefusedThenOutage, Copies)], 1..2);
+}
+
+#[test]
+fn late_writes_meet_others() {
+    use Trouble::*;
+    let met = meet(&[(LateWrites, Kill), (OverAndBack, LateWrites), (LateWrites, Copies)], 1..2);
+    assert!(met.iter().map(|m| m.late.0).sum::<u32>() > 20, "{met:#?}");
+    meet(&[(LateWrites, HeldOrders)], 1..2);
+}
+
+#[test]
+fn held_orders_and_controllers_that_end_meet_others() {
+    use Trouble::*;
+    let pairs =
+        [(HeldOrders, Apart), (AllButOne, HeldOrders), (OverAndBack, AllButOne), (Slow, Apart)];
+    meet(&pairs, 1..2);
+}
+
+/// Every kind makes a mark of its own on the world.
+#[test]
+fn the_troubles_do_what_they_say() {
+    let busy = || {
+        let mut world = World::sized(4, false, Size { machines: 24, ..Size::SMALL });
+        world.keep_busy(Ms(60_000));
+        world.run(Ms(25_000));
+        assert!(world.running.len() > 20);
+        world
+    };
+    let refused = {
+        let mut world = busy();
+        let most = world.most().expect("somebody holds machines");
+        world.refused_then_outage(most, 2_000, 45_000);
+        assert!(world.store_cut[most] == Ms(27_000) && world.outage == Ms(0));
+        world.run(Ms(27_500));
+        assert!(world.nodes.iter().flatten().count() == 3 && world.outage == Ms(72_000));
+        world.troubles_over()
+    };
+    assert_eq!(refused, Ms(72_000));
+    let mut world = busy();
+    world.late_writes(1.0, true, Ms(35_000));
+    let before = world.conflicts;
+    world.run(Ms(50_000));
+    assert!(world.meetings.late > 20, "{}", world.meetings.late);
+    assert!(world.conflicts > before, "none came after newer ones");
+    let mut world = busy();
+    world.all_but_one();
+    world.run(Ms(28_000));
+    assert_eq!(world.nodes.iter().flatten().count(), 1);
+    world.run(Ms(57_000));
+    assert_eq!(world.nodes.iter().flatten().count(), 3);
+    let mut world = busy();
+    let most = world.most().expect("somebody holds machines");
+    let life = world.lives[most];
+    world.happen(Happens::Meets(Trouble::OverAndBack, 1_000, cleatfold_lab::world::Aim::Most));
+    world.run(Ms(55_000));
+    assert_eq!(world.lives[most], life + 2);
+    // A machine that hangs past its lease has lost its tasks by then, not before.
+    let mut world = busy();
+    let machine = world.running.values().next().expect("a busy machine").clone();
+    let on = |w: &World| w.running.values().filter(|m| **m == machine).count();
+    let renewed = world.workers[&machine].renewed;
+    world.hang(&machine, 20_000);
+    let lease = world.size.times().lease_ms;
+    world.run(renewed.plus(lease));
+    let held = on(&world);
+    world.run(renewed.plus(lease + 10));
+    assert!(held > 0 && on(&world) == 0, "{held}");
+}
+
+#[test]
+fn bad_arguments_are_refused() {
+    let parse = |args: &[&str]| {
+        let command = Plan::augment_args(clap::Command::new("region"));
+        command.try_get_matches_from([&["region"], args].concat())
+    };
+    assert!(parse(&["--pairs", "--only", "blink,late-writes", "--seeds", "2"]).is_ok());
+    assert!(parse(&["--pair", "refused-then-outage,cut"]).is_ok());
+    for (args, kind) in [
+        (vec!["--seeds", "0"], ErrorKind::ValueValidation),
+        (vec!["--nodes", "0"], ErrorKind::ValueValidation),
+        (vec!["--teams", "0"], ErrorKind::ValueValidation),
+        (vec!["--machines", "0"], ErrorKind::ValueValidation),
+        (vec!["--threads", "0"], ErrorKind::ValueValidation),
+        (vec!["--only", "blink,nothing"], ErrorKind::InvalidValue),
+        (vec!["--pair", "blink"], ErrorKind::ValueValidation),
+        (vec!["--pair", "blink,nothing"], ErrorKind::ValueValidation),
+        (vec!["--pairs", "--pair", "blink,cut"], ErrorKind::ArgumentConflict),
+    ] {
+        let error = parse(&args).expect_err(&args.join(" "));
+        assert_eq!((error.kind(), error.exit_code()), (kind, 2), "{args:?}");
+        assert!(error.to_string().starts_with("error: "), "{error}");
+    }
+}
