--- a/crates/cleatfold-control/tests/handovers.rs
+++ b/crates/cleatfold-control/tests/handovers.rs
@@ -45,7 +45,7 @@
                         let task = TaskId { job: spec.id.clone(), ix: TaskIx(ix) };
                         let run = [4_000, 25_000, 90_000][(3 - tasks + ix) as usize % 3];
                         let run = if ix == 0 { 4_000 } else { run };
-                        world.meetings.runs.insert(task, run + 150 * u64::from(j));
+                        world.moments.runs.insert(task, run + 150 * u64::from(j));
                     }
                     ends.push(TaskId { job: spec.id.clone(), ix: TaskIx(0) });
                     world.submit(j as usize % NODES, spec);
@@ -117,7 +117,7 @@
                     match kind {
                         Hangs(ms) => drop(world.hung.insert(m.clone(), now.plus(ms))),
                         Cut(ms) => {
-                            drop(world.meetings.cut_machines.insert(m.clone(), now.plus(ms)))
+                            drop(world.moments.cut_machines.insert(m.clone(), now.plus(ms)))
                         }
                         Deaf(ms) => world.deafen(m, now.plus(ms)),
                     }
@@ -149,7 +149,7 @@
         let mut world = region(seed, 9);
         world.run(Ms(4000));
         let until = Ms(90_000);
-        world.meetings.late_orders = Some((9_000, until, seed % 2 == 0));
+        world.moments.late_orders = Some((9_000, until, seed % 2 == 0));
         let mut sweep = plain(&mut world, 40, 0.0);
         (sweep.cpus, sweep.elastic) = (1.0, Some(Elastic { steps: 900, least: 1, step_s: 1.5 }));
         world.submit(0, sweep);
@@ -172,7 +172,7 @@
             run_for(&mut world, 3_000);
         }
         ends_well(&mut world, 400_000, &format!("seed {seed}"));
-        late += world.meetings.ordered_late;
+        late += world.moments.ordered_late;
     }
     assert!(late > 30, "only {late} orders came late");
 }
@@ -190,7 +190,7 @@
             seed += 1;
             let mut world = region(seed, 12);
             for i in 0..NODES {
-                world.meetings.late_commits.insert(i, (1_200, Ms(60_000)));
+                world.moments.late_commits.insert(i, (1_200, Ms(60_000)));
             }
             world.run(Ms(4000));
             for n in 0..6u64 {
--- a/crates/cleatfold-control/tests/meetings.rs
+++ b/crates/cleatfold-control/tests/meetings.rs
@@ -33,7 +33,7 @@
         world.run(Ms(4000));
         let until = Ms(300_000);
         for i in 0..3 {
-            world.meetings.late_commits.insert(i, (1400, until));
+            world.moments.late_commits.insert(i, (1400, until));
         }
         for n in 0..4 {
             let mut spec = plain(&mut world, 270 + 10 * n, 2.0 + f64::from(n) * 2.0);
--- a/crates/cleatfold-lab/src/world/workers.rs
+++ b/crates/cleatfold-lab/src/world/workers.rs
@@ -29,17 +29,25 @@
         }
     }
 
-    /// A machine that hangs executes nothing; it carries on where it was.
+    /// A machine that hangs executes nothing; it carries on where it was, but only within its lease:
+    /// when that has run out, its tasks are gone whether it goes on or not.
     pub(super) fn hangs(&mut self, id: &MachineId) -> bool {
-        match self.hung.get(id) {
-            Some(until) if *until > self.now => {
-                let goes_on = until.since(self.now);
-                let lease = self.lapses_hanging(id);
-                self.at(lease.map_or(goes_on, |ms| ms.min(goes_on)), Happens::Wake(id.clone()));
-                true
-            }
-            _ => false,
-        }
+        let now = self.now;
+        let Some(until) = self.hung.get(id).copied().filter(|until| *until > now) else {
+            return false;
+        };
+        let mut next = until;
+        if let Some(worker) = self.workers.get_mut(id) {
+            let over = |w: &Worker| w.renewed.plus(w.lease_ms + 1);
+            let lost = match over(worker) <= now {
+                true => worker.begin_anew(now),
+                false => Vec::new(),
+            };
+            next = next.min(over(worker));
+            self.judge(id, lost);
+        }
+        self.at(next.since(now).max(1), Happens::Wake(id.clone()));
+        true
     }
 
     pub(super) fn member_asks(&mut self, id: &MachineId, key: MemberKey, report: StepReport) {
@@ -157,6 +165,11 @@
             let answer = Happens::WorkerAnswer { machine: id, number, sent, session, response };
             return self.at(until, answer);
         }
+        if let Some(until) = self.meetings.held_until(&id, now) {
+            let until = until.since(now) + 1;
+            let answer = Happens::WorkerAnswer { machine: id, number, sent, session, response };
+            return self.at(until, answer);
+        }
         let Some(link) = self.links.get_mut(&id) else { return };
         if link.waiting != Some(number) || now.since(sent) > 4000 {
             return;
@@ -164,14 +177,14 @@
         if self.workers.get(&id).is_some_and(|w| self.troubles.is_deaf(w, now)) {
             return;
         }
-        if self.meetings.cut_machines.get(&id).is_some_and(|until| *until > now) {
+        if self.moments.cut_machines.get(&id).is_some_and(|until| *until > now) {
             return;
         }
         link.waiting = None;
         match response {
             Response::Worker(reply) => {
                 let (jobs, broken) = (&self.jobs, &self.troubles.broken);
-                let runs = &self.meetings.runs;
+                let runs = &self.moments.runs;
                 let find = |task: &TaskId| {
                     let spec = jobs.get(&task.job)?.spec.clone()?;
                     (task.ix.0 < spec.tasks).then(|| {
