--- a/crates/cleatfold-control/src/effects.rs
+++ b/crates/cleatfold-control/src/effects.rs
@@ -213,6 +213,10 @@
         machine: MachineId,
         endpoint: String,
     },
+    /// This program cannot work with what it found; it ends.
+    Refuse {
+        why: String,
+    },
     /// To one peer, or to all.
     Mesh {
         to: Option<NodeId>,
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -11,6 +11,7 @@
 mod duties;
 pub mod effects;
 mod fleet;
+mod format;
 mod jobs;
 mod lanes;
 mod leader;
@@ -42,4 +43,5 @@
     CloudReply, CloudRequest, Effect, Event, Lane, Request, Response, StoreReply, StoreRequest,
     TeamAnswer, TeamAsk,
 };
+pub use format::FORMAT;
 pub use node::Node;
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -26,6 +26,8 @@
     pub(crate) ops: BTreeMap<u64, Pending>,
     pub(crate) resend: Vec<(Ms, u64, Lane, StoreRequest)>,
 
+    pub(crate) format: crate::format::Format,
+    pub(crate) format_again: Ms,
     pub(crate) mirror: Mirror,
     pub(crate) loaded: bool,
     pub(crate) loading: bool,
@@ -112,6 +114,8 @@
             next_op: 1,
             ops: BTreeMap::new(),
             resend: Vec::new(),
+            format: Default::default(),
+            format_again: Ms(0),
             mirror: Mirror::default(),
             loaded: false,
             loading: false,
@@ -253,6 +257,7 @@
         }
         self.fail_stale_waits();
         self.answer_held(&[]);
+        self.keep_format();
         self.keep_lease();
         self.keep_mirror();
         self.keep_cloud();
@@ -320,7 +325,8 @@
     // ---- the lease and our own key ----
 
     fn keep_lease(&mut self) {
-        if self.lease_asked {
+        // Nothing is written before it is known that the records are ours to read.
+        if self.lease_asked || self.format != crate::format::Format::Known {
             return;
         }
         let ttl_ms = self.cfg.node_ttl_ms;
@@ -543,6 +549,8 @@
                     }
                 }
             }
+            Pending::Format => self.on_format(reply),
+            Pending::FormatWritten => self.on_format_written(reply),
             Pending::Enlist => {
                 self.enlisting = false;
                 self.enlisted = Some(self.now);
--- a/crates/cleatfold-control/src/pending.rs
+++ b/crates/cleatfold-control/src/pending.rs
@@ -38,6 +38,9 @@
         sent: Ms,
     },
     Enlist,
+    /// Reading the marker of the records' version, and writing it.
+    Format,
+    FormatWritten,
     /// Taking a duty, or giving it back.
     Duty(Duty),
     /// The record of rentals, and what to ask for once it is durable.
--- a/crates/cleatfold-control/src/records.rs
+++ b/crates/cleatfold-control/src/records.rs
@@ -38,6 +38,8 @@
 const WEIGHTS: &str = "cf/w/";
 /// Groups of teams' histories, outside of what nodes read at their start.
 pub const HISTORY_LOG: &str = "hist/";
+/// Which version of the records these are.
+pub const FORMAT_KEY: &str = "cf/format";
 pub const RENTS_KEY: &str = "cf/rents";
 pub const ALLOTMENT: &str = "cf/allotment";
 /// Who fetches from the origin of images.
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -201,6 +201,8 @@
     /// Bytes of records that they read, and changes that came above the service's limit.
     pub bytes_read: u64,
     pub refused_changes: u64,
+    /// Controllers that ended by themselves, and what they said.
+    pub refused_starts: Vec<(usize, String)>,
     /// Questions about single ended jobs.
     pub archive_reads: u64,
     /// The last answer to a team that asked for its losses.
@@ -277,6 +279,7 @@
             busy: Default::default(),
             bytes_read: 0,
             refused_changes: 0,
+            refused_starts: Vec::new(),
             archive_reads: 0,
             team_losses: None,
             team_answer: None,
@@ -406,6 +409,12 @@
                     self.at(delay.min(1000), Happens::Node(node, life, Box::new(event)));
                 }
                 Effect::Mesh { to, message } => self.on_mesh(node, to, &message),
+                Effect::Refuse { why } => {
+                    // Its process ends; whoever started it sees why.
+                    self.nodes[node] = None;
+                    self.lives[node] += 1;
+                    self.refused_starts.push((node, why));
+                }
             }
         }
     }
--- a/crates/cleatfold-standin/src/store.rs
+++ b/crates/cleatfold-standin/src/store.rs
@@ -35,6 +35,11 @@
         })
     }
 
+    /// How many leases are held.
+    pub fn leases(&self) -> usize {
+        self.leases.len()
+    }
+
     pub fn revision(&self) -> Version {
         Version(self.revision)
     }
--- a/crates/cleatfold/src/actor.rs
+++ b/crates/cleatfold/src/actor.rs
@@ -67,6 +67,8 @@
     workers: mpsc::UnboundedSender<workers::Job>,
     mesh: HashMap<NodeId, mpsc::Sender<Bytes>>,
     answers: HashMap<u64, oneshot::Sender<Response>>,
+    /// Why this process has to end.
+    refused: Option<String>,
 }
 
 impl Outlets {
@@ -94,6 +96,7 @@
                 let _ = self.workers.send(workers::Job { machine, endpoint, what });
             }
             Effect::Mesh { to, message } => self.send(to, &message),
+            Effect::Refuse { why } => self.refused = Some(why),
         }
     }
 
@@ -164,6 +167,7 @@
         workers: worker_queue,
         mesh: mesh_queues,
         answers: HashMap::new(),
+        refused: None,
     };
     let mut config = settings.control();
     operator.apply(&mut config);
@@ -181,8 +185,7 @@
         next_rid: 0,
     }
     .run(inner, asked)
-    .await;
-    Ok(())
+    .await
 }
 
 /// The time of day.
@@ -210,10 +213,13 @@
         mut self,
         mut inner: mpsc::UnboundedReceiver<Event>,
         mut asked: mpsc::UnboundedReceiver<Ask>,
-    ) {
+    ) -> std::io::Result<()> {
         let mut next_tick = Instant::now();
         let mut handled = 0;
         loop {
+            if let Some(why) = self.outlets.refused.take() {
+                return Err(std::io::Error::other(why));
+            }
             while let Ok(event) = inner.try_recv() {
                 self.handle(event);
             }
@@ -237,11 +243,11 @@
                 biased;
                 event = inner.recv() => match event {
                     Some(event) => self.handle(event),
-                    None => return,
+                    None => return Ok(()),
                 },
                 ask = asked.recv() => match ask {
                     Some(ask) => self.take(ask),
-                    None => return,
+                    None => return Ok(()),
                 },
                 _ = tokio::time::sleep_until(next_tick) => {}
             }
