--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod effects;
 mod entitled;
 mod fleet;
+mod format;
 mod jobs;
 mod lanes;
 mod leader;
@@ -43,4 +44,5 @@
     CloudReply, CloudRequest, Effect, Event, Lane, Request, Response, StoreReply, StoreRequest,
     TeamAnswer, TeamAsk,
 };
+pub use format::FORMAT;
 pub use node::Node;
