--- a/crates/cleatfold-control/tests/format.rs
+++ b/crates/cleatfold-control/tests/format.rs
@@ -44,7 +44,9 @@
 
 #[test]
 fn an_unreadable_marker_is_left_alone() {
-    for value in [serde_json::json!("?"), serde_json::json!({}), serde_json::json!({ "version": -1 })] {
+    for value in
+        [serde_json::json!("?"), serde_json::json!({}), serde_json::json!({ "version": -1 })]
+    {
         let mut world = region();
         mark(&mut world, &value);
         refused(&mut world, "cannot be read");
--- a/crates/cleatfold-control/tests/handovers.rs
+++ b/crates/cleatfold-control/tests/handovers.rs
@@ -116,9 +116,7 @@
                 for m in &victims {
                     match kind {
                         Hangs(ms) => drop(world.hung.insert(m.clone(), now.plus(ms))),
-                        Cut(ms) => {
-                            drop(world.moments.cut_machines.insert(m.clone(), now.plus(ms)))
-                        }
+                        Cut(ms) => drop(world.moments.cut_machines.insert(m.clone(), now.plus(ms))),
                         Deaf(ms) => world.deafen(m, now.plus(ms)),
                     }
                 }
--- a/crates/cleatfold-control/tests/seen_exits.rs
+++ b/crates/cleatfold-control/tests/seen_exits.rs
@@ -41,7 +41,9 @@
     let (token, session, renewed) = (worker.token, Session(worker.session), worker.renewed);
     let commands = vec![Command::Stop { task: task.clone(), attempt, grace_s: 0.0 }];
     let orders = Orders { token, session, commands };
-    world.happen(Happens::Orders { node: owner, life: u32::MAX, machine: machine.clone(), orders });
+    let (node, life) = (owner, u32::MAX);
+    let held = Happens::Orders { node, life, machine: machine.clone(), orders, answered: false };
+    world.happen(held);
     let late = world.workers.get_mut(&machine).expect("it is there").report();
     world.hung.insert(machine.clone(), renewed.plus(10_150));
 
--- a/crates/cleatfold-lab/src/world/services.rs
+++ b/crates/cleatfold-lab/src/world/services.rs
@@ -8,7 +8,8 @@
         let now = self.now;
         match request {
             StoreRequest::Get(key) => {
-                self.archive_reads += u64::from(key.starts_with(cleatfold_control::records::ARCHIVE));
+                self.archive_reads +=
+                    u64::from(key.starts_with(cleatfold_control::records::ARCHIVE));
                 self.store.get(&key).map_or(StoreReply::Missing, StoreReply::Item)
             }
             StoreRequest::List { prefix, from, most } => {
