--- a/crates/cleatfold-control/tests/claims.rs
+++ b/crates/cleatfold-control/tests/claims.rs
@@ -59,6 +59,8 @@
     copies: 0,
     ..TAKE_OVER
 };
+/// All of it, with a cancellation.
+const WHOLE: Bounds = Bounds { name: "whole", tokens: 2, restarts: [1, 0], cancel: true, ..ACCEPT };
 /// For the guards that need them.
 const RESTART_DRAINS: Bounds = Bounds { name: "restart, drains", drains: true, late: 0, ..RESTART };
 
@@ -101,9 +103,10 @@
     holds(CANCEL, 200_000, &[DONE, ABORTED, ADOPTED, CANCELLED, BOUND]);
 }
 
+/// From acceptance to the archive. All of `ACCEPT` and more.
 #[test]
-fn acceptance() {
-    holds(ACCEPT, 500, &[DONE]);
+fn whole() {
+    holds(WHOLE, 200_000, &[DONE, ABORTED, ADOPTED, RELEASED, CANCELLED, BOUND]);
 }
 
 /// The shortest way to what breaks without the guard.
