--- a/crates/cleatfold-control/tests/late.rs
+++ b/crates/cleatfold-control/tests/late.rs
@@ -388,7 +388,11 @@
             serde_json::from_str(txn.changes[0].value.as_ref().expect("a holder").get()).unwrap();
         let sender = (0..NODES).find(|i| node_id(*i) == holder.owner);
         let sender = sender.expect("a node");
-        assert_eq!(refused_by(&mut world, &txn), [key.clone()], "while somebody has it");
+        assert_eq!(
+            refused_by(&mut world, &txn),
+            std::slice::from_ref(&key),
+            "while somebody has it"
+        );
         if gone {
             world.crash(sender, 60_000);
             run_for(&mut world, 3_400);
