--- a/crates/cleatfold-control/tests/handovers.rs
+++ b/crates/cleatfold-control/tests/handovers.rs
@@ -244,7 +244,11 @@
         let quick = plain(&mut world, 2, 2.0);
         world.submit(other, quick);
         run_for(&mut world, 200 * (seed % 40));
-        let cancelled = jobs[seed as usize % jobs.len()].clone();
+        // One that runs where the controller apart goes on answering; no one may delete its machines instead.
+        let mine = |m: &MachineId| owner(&world, m) == Some(apart);
+        let on_it = world.running.iter().find(|r| mine(r.1)).map(|r| r.0.job.clone());
+        let cancelled = on_it.unwrap_or_else(|| jobs[seed as usize % jobs.len()].clone());
+        world.cloud_off = seed % 2 == 1;
         withdraw(&mut world, other, &cancelled);
         while world.now < until && world.broken.is_empty() {
             run_for(&mut world, 500);
@@ -256,6 +260,7 @@
                 withdraw(&mut world, other, &cancelled);
             }
         }
+        world.cloud_off = false;
         assert!(world.jobs[&cancelled].cancel_told.is_some(), "seed {seed}: not told");
         ends_well_asked(&mut world, 500_000, &format!("seed {seed}"));
     }
