--- a/crates/cleatfold-control/tests/handovers.rs
+++ b/crates/cleatfold-control/tests/handovers.rs
@@ -115,10 +115,13 @@
                 let now = world.now;
                 for m in &victims {
                     match kind {
-                        Hangs(ms) => drop(world.hung.insert(m.clone(), now.plus(ms))),
+                        Hangs(ms) => {
+                            world.hung.insert(m.clone(), now.plus(ms));
+                        }
                         Cut(ms) => {
-                            drop(world.meetings.cut_machines.insert(m.clone(), now.plus(ms)))
+                            world.meetings.cut_machines.insert(m.clone(), now.plus(ms));
                         }
+
                         Deaf(ms) => world.deafen(m, now.plus(ms)),
                     }
                 }
