--- a/crates/cleatfold-control/tests/handovers.rs
+++ b/crates/cleatfold-control/tests/handovers.rs
@@ -121,7 +121,6 @@
                         Cut(ms) => {
                             world.meetings.cut_machines.insert(m.clone(), now.plus(ms));
                         }
-
                         Deaf(ms) => world.deafen(m, now.plus(ms)),
                     }
                 }
