--- a/crates/cleatfold-control/tests/seen_token.rs
+++ b/crates/cleatfold-control/tests/seen_token.rs
@@ -90,6 +90,7 @@
             life: u32::MAX,
             machine: machine.clone(),
             orders,
+            answered: false,
         });
         let late = world.workers.get_mut(&machine).expect("it is there").report();
         world.hung.insert(machine.clone(), renewed.plus(10_150));
