--- a/crates/cleatfold-control/src/mirror.rs
+++ b/crates/cleatfold-control/src/mirror.rs
@@ -161,8 +161,15 @@
 }
 
 impl Mirror {
+    /// Forgets everything, to be read again. Stamps go on: a report that was settled by one of before must not pass
+    /// for settled by a new one of the same number.
+    pub fn begin_anew(&mut self) {
+        *self = Mirror { stamps: self.stamps, ..Mirror::default() };
+    }
+
+    /// Of a listing, which tells what stands now: also what has not changed since it began.
     pub fn apply_item(&mut self, item: &Item) {
-        self.set(&item.key, item.value.get(), item.version);
+        self.put(&item.key, item.value.get(), item.version);
     }
 
     pub fn apply_event(&mut self, event: &Event) {
@@ -204,8 +211,14 @@
     }
 
     pub fn set(&mut self, key: &str, value: &str, version: Version) {
+        if self.is_news(version) {
+            self.put(key, value, version);
+        }
+    }
+
+    fn put(&mut self, key: &str, value: &str, version: Version) {
         let Some(parsed) = parse_key(key) else { return };
-        if !self.is_news(version) || version <= self.version_of(key, &parsed) {
+        if version <= self.version_of(key, &parsed) {
             return;
         }
         let result = match parsed {
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -397,10 +397,12 @@
 
     fn reload(&mut self) {
         tracing::info!("reading everything again");
-        self.mirror = Mirror::default();
+        self.mirror.begin_anew();
         self.loaded = false;
         self.load_from = None;
         self.load_base = None;
+        // A claim whose answer comes while we load is in no page read before, nor on its way any more.
+        self.limits.blind = Some(self.now);
     }
 
     fn on_load(&mut self, sent: Ms, reply: StoreReply) {
@@ -409,15 +411,18 @@
             self.store_failed = Some(self.now);
             return;
         };
-        self.load_base.get_or_insert(page.revision);
+        // What stood then is in these pages: an answer to an earlier change of ours adds nothing to them.
+        self.mirror.applied = *self.load_base.get_or_insert(page.revision);
         for item in &page.items {
             self.mirror.apply_item(item);
         }
         match (page.more, page.items.last()) {
             (true, Some(last)) => self.load_from = Some(last.key.clone()),
             _ => {
-                self.mirror.applied = self.load_base.unwrap_or_default();
                 self.begin_ended();
+                let gone = |id: &&JobId| !self.mirror.jobs.contains_key(*id);
+                let gone: Vec<JobId> = self.locals.keys().filter(gone).cloned().collect();
+                gone.iter().for_each(|job| self.drop_local(job));
                 self.loaded = true;
                 // The pages are from different moments: only the next reading is complete.
                 self.want_sync = true;
--- a/crates/cleatfold-control/tests/world.rs
+++ b/crates/cleatfold-control/tests/world.rs
@@ -196,3 +196,19 @@
     }
     assert!(world.broken.is_empty(), "{:#?}", world.broken);
 }
+
+/// The state service forgets changes so soon that whoever was cut off for a while has to read everything again, while
+/// answers to what it had sent before are on their way.
+#[test]
+fn reading_everything_again_keeps_the_rules() {
+    let mut too_old = 0;
+    for seed in 40..44 {
+        let mut world = World::new(seed, true);
+        world.keeps = 40;
+        world.run(Ms(600_000));
+        assert!(world.broken.is_empty(), "seed {seed}: {:#?}", world.broken);
+        assert_eq!(world.unfinished(), Vec::<JobId>::new(), "seed {seed}");
+        too_old += world.too_old;
+    }
+    assert!(too_old > 10, "only {too_old} readings were refused");
+}
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -233,6 +233,8 @@
     pub team_answer: Option<Response>,
     /// Revisions that the state service keeps for whoever reads what has changed since.
     pub keeps: u64,
+    /// Readings that were refused for it.
+    pub too_old: u32,
     budget: (Ms, f64),
     pub asked: BTreeMap<(usize, u64), Asked>,
     pub next_rid: u64,
@@ -312,6 +314,7 @@
             team_losses: None,
             team_answer: None,
             keeps: 10_000,
+            too_old: 0,
             budget: (Ms(0), 0.0),
             asked: BTreeMap::new(),
             next_rid: 0,
--- a/crates/cleatfold-lab/src/world/services.rs
+++ b/crates/cleatfold-lab/src/world/services.rs
@@ -48,6 +48,7 @@
                 }
             }
             StoreRequest::Changes { from, .. } if from.0 + self.keeps < self.store.revision().0 => {
+                self.too_old += 1;
                 StoreReply::TooOld
             }
             StoreRequest::Changes { prefix, from } => {
