--- a/crates/cleatfold-lab/tests/pairs.rs
+++ b/crates/cleatfold-lab/tests/pairs.rs
@@ -3,10 +3,12 @@
 
 use clap::error::ErrorKind;
 use clap::Args;
+use cleatfold_control::Request;
 use cleatfold_lab::days::Plan;
 use cleatfold_lab::pairs::{play, Pair};
-use cleatfold_lab::world::{Happens, Size, Trouble, World};
-use cleatfold_wire::Ms;
+use cleatfold_lab::world::{Asked, Happens, Size, Trouble, World};
+use cleatfold_wire::{JobId, MachineId, Ms};
+use std::collections::BTreeSet;
 
 fn meet(
     pairs: &[(Trouble, Trouble)],
@@ -136,3 +138,39 @@
         assert!(error.to_string().starts_with("error: "), "{error}");
     }
 }
+
+/// The controller with most machines is refused alone, users cancel through the others what runs on
+/// them, and before its pools are dealt on everybody is refused for longer than a cancellation may
+/// take. No peer can tell it either; it must let its workers go in time. Seen to fail (`ran_cancelled`) with
+/// the limit for a cut-off owner four times as long.
+#[test]
+fn what_is_cancelled_between_a_refusal_and_an_outage_is_gone_in_time() {
+    for seed in 1..3 {
+        let mut world = World::sized(seed, false, Size { machines: 24, ..Size::SMALL });
+        world.keep_busy(Ms(25_000));
+        world.run(Ms(25_000));
+        let refused = world.most().expect("somebody holds machines");
+        let holds =
+            |w: &World, m: &MachineId| w.pool_of(m).and_then(|p| w.holder(&p)) == Some(refused);
+        let jobs: BTreeSet<JobId> = world
+            .running
+            .iter()
+            .filter(|(_, m)| holds(&world, m))
+            .map(|(task, _)| task.job.clone())
+            .collect();
+        world.mesh_off = true;
+        world.refused_then_outage(refused, 1_200, 55_000);
+        world.run(Ms(25_100));
+        let other = (refused + 1) % 3;
+        for id in &jobs {
+            world.jobs.get_mut(id).expect("known").cancel_asked = true;
+            world.ask(other, Asked::Withdraw(id.clone()), Request::Withdraw(id.clone()));
+        }
+        world.run(Ms(26_300));
+        let told = jobs.iter().filter(|id| world.jobs[*id].cancel_told.is_some()).count();
+        let on = world.running.iter().filter(|(t, m)| jobs.contains(&t.job) && holds(&world, m));
+        assert!(told > 2 && on.count() > 2, "seed {seed}: {told} of {} told", jobs.len());
+        world.run(Ms(110_000));
+        assert!(world.broken.is_empty(), "seed {seed}: {:#?}", world.broken);
+    }
+}
