--- a/crates/cleatfold-door/src/turns.rs
+++ b/crates/cleatfold-door/src/turns.rs
@@ -4,9 +4,10 @@
 use std::collections::HashSet;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// A turn is a little longer than the pause between two questions about a job (PROTOCOL: roughly 5 s),
-/// so whoever asks regularly asks at least once in each of his turns.
-pub const TURN_MS: u64 = 6_000;
+/// A turn is a little longer than the longest pause between two questions about a job (PROTOCOL: roughly 5 s, so up to
+/// a quarter more), so whoever asks regularly asks at least once in each of his turns. (With 6 s some missed a turn, and
+/// waited for 54 s.)
+pub const TURN_MS: u64 = 6_500;
 /// So many turns make a round: the longest that a job waits for its turn.
 pub const ROUND: u64 = 5;
 
