Answers in order: questions by events, not milliseconds; late acceptances; an empty list of machine types

Cause, found by reading each answer's revision: whoever waits is answered by a reading "sent after the question came", judged by a clock of milliseconds. A reading sent earlier in the same millisecond passed for a later one, so a user told 201, done or aborted at one controller could be told something older at another within that millisecond. Also: an acceptance whose answer was slow told `queued` after others had told the job's cancellation; an empty list of machine types counted as known, and every job was refused with 422.

Change: each handled event has a number, and questions, readings, questions to the archive, team questions and the "blind" mark of the limits compare these. A late acceptance tells what has been read of its job. An empty list is none (503).

The region learns four kinds of trouble (close looks, lost answers, cancellations at a job's end, odd requests) and watches that no answer is older than what was told when it was asked for, no job is accepted twice, none that can't run or lacks a field is accepted, and counts starts after a confirmed cancellation.

--- a/crates/cleatfold-control/src/archive.rs
+++ b/crates/cleatfold-control/src/archive.rs
@@ -8,7 +8,7 @@
 //! answered in time whatever comes of it, and their number is bounded; and what others ended is
 //! read for all jobs at once (`follow`), so that hardly anybody has to ask.
 
-use crate::node::Waiting;
+use crate::node::{EventNumber, Waiting};
 use cleatfold_wire::*;
 use std::collections::BTreeMap;
 
@@ -18,7 +18,7 @@
 #[derive(Default)]
 pub(crate) struct Lookups {
     /// By job: when its question was sent, and who waits for the answer.
-    asked: BTreeMap<JobId, (Ms, Vec<Waiting>)>,
+    asked: BTreeMap<JobId, (EventNumber, Vec<Waiting>)>,
     /// Ends up to this revision have been read.
     pub read_to: Version,
     pub following: bool,
@@ -35,7 +35,7 @@
 }
 
 impl Lookups {
-    pub fn join(&mut self, job: &JobId, waiting: Vec<Waiting>, now: Ms) -> Joined {
+    pub fn join(&mut self, job: &JobId, waiting: Vec<Waiting>, now: EventNumber) -> Joined {
         if let Some((_, known)) = self.asked.get_mut(job) {
             known.extend(waiting);
             return Joined::UnderWay;
@@ -48,7 +48,7 @@
     }
 
     /// The answer is here: when its question was sent, and who waits for it.
-    pub fn leave(&mut self, job: &JobId) -> (Ms, Vec<Waiting>) {
+    pub fn leave(&mut self, job: &JobId) -> (EventNumber, Vec<Waiting>) {
         self.asked.remove(job).unwrap_or_default()
     }
 
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -5,7 +5,7 @@
 //! shows what stands. Until then nothing is built on it.
 
 use crate::effects::*;
-use crate::node::{Node, Pending};
+use crate::node::{EventNumber, Node, Pending};
 use crate::records::*;
 use crate::steps::{judge, Asked, Judged};
 use cleatfold_elastic::Verdict;
@@ -64,7 +64,7 @@
 pub(crate) struct Local {
     pub busy: bool,
     /// Someone else changed it; nothing is sent before the next reading.
-    pub stale_since: Option<Ms>,
+    pub stale_since: Option<EventNumber>,
     pub not_before: Ms,
     /// Since when something of it has waited to be recorded.
     pub unsent_since: Option<Ms>,
@@ -473,21 +473,21 @@
             }
             reply => {
                 let conflict = matches!(reply, StoreReply::Conflict(_));
-                let now = self.now;
+                let (now, event) = (self.now, self.event);
                 if conflict {
                     tracing::debug!(job = %tx.job, "conflict");
                     self.want_sync = true;
                     if tx.doubtful {
                         // It may have been executed after all: its claims count against the
                         // team's limit, but only the next reading shows them.
-                        self.limits.blind = Some(now);
+                        self.limits.blind = Some(event);
                     }
                 }
                 let contact = self.in_contact();
                 let local = self.local(&tx.job);
                 local.busy = false;
                 if conflict {
-                    local.stale_since = Some(now);
+                    local.stale_since = Some(event);
                 } else {
                     local.not_before = now.plus(500);
                 }
--- a/crates/cleatfold-control/src/limits.rs
+++ b/crates/cleatfold-control/src/limits.rs
@@ -5,7 +5,7 @@
 
 use crate::effects::*;
 use crate::mirror::Live;
-use crate::node::{Node, Pending};
+use crate::node::{EventNumber, Node, Pending};
 use crate::records::*;
 use crate::schedule::PoolPlan;
 use cleatfold_admission::room::Room;
@@ -33,7 +33,7 @@
     /// What it reserved to start soon: a part is not given back for that.
     pub soon: Usage,
     /// Claims may stand that we have not read yet; no claim for a limited team until we have.
-    pub blind: Option<Ms>,
+    pub blind: Option<EventNumber>,
 }
 
 /// A limit that a pool's machines could exceed, and what is left of it there.
@@ -351,7 +351,7 @@
             _ => {
                 // What stands is known after the next reading; until then it counts as blind.
                 self.limits.inflight.remove(&team);
-                self.limits.blind = Some(self.now);
+                self.limits.blind = Some(self.event);
                 self.want_sync = true;
             }
         }
--- a/crates/cleatfold-control/src/machines.rs
+++ b/crates/cleatfold-control/src/machines.rs
@@ -65,7 +65,8 @@
             (Some(Pending::Types), reply) => {
                 self.types_asked = false;
                 match reply {
-                    CloudReply::Types(types) => {
+                    // A list of none says nothing: whoever went by it would refuse every job for good.
+                    CloudReply::Types(types) if !types.is_empty() => {
                         self.fleet.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
                         self.types_at = Some(self.now);
                     }
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -13,11 +13,13 @@
 use cleatfold_wire::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-pub(crate) use crate::pending::{Pending, Submission, Wait, Waiting};
+pub(crate) use crate::pending::{EventNumber, Pending, Submission, Wait, Waiting};
 
 pub struct Node {
     pub(crate) cfg: Config,
     pub(crate) now: Ms,
+    /// The event that is being handled.
+    pub(crate) event: EventNumber,
     /// Time of day in milliseconds; orders the queue, decides nothing else.
     pub(crate) wall_ms: u64,
     pub(crate) stretch: u64,
@@ -108,6 +110,7 @@
         Self {
             cfg,
             now: Ms(0),
+            event: EventNumber(0),
             wall_ms: 0,
             stretch: 1,
             out: Vec::new(),
@@ -186,6 +189,7 @@
     /// Handles one event; returns what is to be done.
     pub fn handle(&mut self, now: Ms, wall_ms: u64, event: Event) -> Vec<Effect> {
         self.now = now.max(self.now);
+        self.event.0 += 1;
         self.started.get_or_insert(self.now);
         self.wall_ms = wall_ms;
         // Looking for what is due costs by the number of jobs; most events make nothing due.
@@ -390,8 +394,8 @@
             self.want_sync = false;
             self.sync_sent = self.now;
             let request = StoreRequest::Changes { prefix: LIVE.into(), from: self.mirror.applied };
-            let sent = self.now;
-            self.store(Lane::Renewal, request, Pending::Sync { sent });
+            let (sent, sent_at) = (self.now, self.event);
+            self.store(Lane::Renewal, request, Pending::Sync { sent, sent_at });
         }
     }
 
@@ -402,7 +406,7 @@
         self.load_from = None;
         self.load_base = None;
         // A claim whose answer comes while we load is in no page read before, nor on its way any more.
-        self.limits.blind = Some(self.now);
+        self.limits.blind = Some(self.event);
     }
 
     fn on_load(&mut self, sent: Ms, reply: StoreReply) {
@@ -436,7 +440,7 @@
         }
     }
 
-    fn on_sync(&mut self, sent: Ms, reply: StoreReply) {
+    fn on_sync(&mut self, sent: Ms, sent_at: EventNumber, reply: StoreReply) {
         self.sync_inflight = false;
         match reply {
             StoreReply::Events(events) => {
@@ -449,22 +453,22 @@
                 self.mirror.applied = self.mirror.applied.max(events.revision);
                 self.fresh = Some(self.fresh.map_or(sent, |f| f.max(sent)));
                 self.reach.view.letting.reset();
-                if self.limits.blind.is_some_and(|b| b <= sent) {
+                if self.limits.blind.is_some_and(|b| b <= sent_at) {
                     self.limits.blind = None;
                 }
                 for local in self.locals.values_mut() {
-                    if local.stale_since.is_some_and(|s| s <= sent) {
+                    if local.stale_since.is_some_and(|s| s <= sent_at) {
                         local.stale_since = None;
                     }
                 }
-                self.after_sync(sent);
+                self.after_sync(sent_at);
             }
             StoreReply::TooOld => self.reload(),
             _ => self.store_failed = Some(self.now),
         }
     }
 
-    fn after_sync(&mut self, sent: Ms) {
+    fn after_sync(&mut self, sent_at: EventNumber) {
         self.note_read_cancellations();
         for job in std::mem::take(&mut self.mirror.gone) {
             self.archive.stale |= self.terminal.get(&job).is_none();
@@ -472,7 +476,7 @@
         }
         self.follow_archive();
         self.note_ownership();
-        self.answer_waiting(sent);
+        self.answer_waiting(sent_at);
         self.sync_if_due();
     }
 
@@ -524,7 +528,7 @@
             _ => {}
         }
         match pending {
-            Pending::Sync { sent } => self.on_sync(sent, reply),
+            Pending::Sync { sent, sent_at } => self.on_sync(sent, sent_at, reply),
             Pending::Load { sent } => self.on_load(sent, reply),
             Pending::Job(tx) => self.on_job_tx(op, *tx, reply),
             Pending::Submit { batch, txn } => self.on_submitted(batch, txn, reply),
--- a/crates/cleatfold-control/src/pending.rs
+++ b/crates/cleatfold-control/src/pending.rs
@@ -9,11 +9,17 @@
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
 
+/// The number of a handled event. It orders what happens within one millisecond: what an event brings comes before
+/// whatever is sent while it is handled, and after all that was sent at earlier events.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct EventNumber(pub u64);
+
 /// A call to the state service or the cloud that has no answer yet.
 #[derive(Debug)]
 pub(crate) enum Pending {
     Sync {
         sent: Ms,
+        sent_at: EventNumber,
     },
     Load {
         sent: Ms,
@@ -113,6 +119,8 @@
     pub rid: u64,
     pub job: JobId,
     pub arrived: Ms,
+    /// The event that brought it: only a reading that was sent at this one or later answers it.
+    pub arrived_at: EventNumber,
     pub kind: Wait,
 }
 
--- a/crates/cleatfold-control/src/requests.rs
+++ b/crates/cleatfold-control/src/requests.rs
@@ -2,7 +2,7 @@
 
 use crate::archive::Joined;
 use crate::effects::*;
-use crate::node::{Node, Pending, Submission, Wait, Waiting};
+use crate::node::{EventNumber, Node, Pending, Submission, Wait, Waiting};
 use crate::records::*;
 use crate::submissions::SUBMIT_MS;
 use cleatfold_wire::job::{JobState, JobStatus, StepCount};
@@ -91,7 +91,8 @@
         if self.store_away() {
             return self.reply(rid, Response::later("the state service does not answer"));
         }
-        self.waiting.push(Waiting { rid, job, arrived: self.now, kind });
+        let (arrived, arrived_at) = (self.now, self.event);
+        self.waiting.push(Waiting { rid, job, arrived, arrived_at, kind });
         self.sync_if_due();
     }
 
@@ -124,10 +125,11 @@
         }
     }
 
-    /// A reading sent at `sent` is in: it answers everyone who asked before.
-    pub(crate) fn answer_waiting(&mut self, sent: Ms) {
+    /// A reading sent at event `sent_at` is in: it answers everyone who asked before. By events, not by the clock: who
+    /// asks later in the same millisecond may have been told by another node of what this reading does not show.
+    pub(crate) fn answer_waiting(&mut self, sent_at: EventNumber) {
         let (ripe, rest) =
-            std::mem::take(&mut self.waiting).into_iter().partition(|w| w.arrived <= sent);
+            std::mem::take(&mut self.waiting).into_iter().partition(|w| w.arrived_at <= sent_at);
         self.waiting = rest;
         let mut unknown: BTreeMap<JobId, Vec<Waiting>> = BTreeMap::new();
         for w in ripe {
@@ -146,7 +148,7 @@
         for (job, waiting) in unknown {
             self.look_up(job, waiting);
         }
-        self.answer_teams(Some(sent));
+        self.answer_teams(Some(sent_at));
     }
 
     pub(crate) fn live_status(&self, job: &JobId) -> Option<JobStatus> {
@@ -187,7 +189,7 @@
 
     /// Asks the archive about a job that is not among the live ones.
     fn look_up(&mut self, job: JobId, waiting: Vec<Waiting>) {
-        match self.archive.join(&job, waiting, self.now) {
+        match self.archive.join(&job, waiting, self.event) {
             Joined::Ask => {
                 let request = StoreRequest::Get(archive_key(&job));
                 self.store(Lane::Poll, request, Pending::Archive { job });
@@ -202,7 +204,7 @@
     }
 
     pub(crate) fn on_archive(&mut self, job: JobId, reply: StoreReply) {
-        let (sent, waiting) = self.archive.leave(&job);
+        let (sent_at, waiting) = self.archive.leave(&job);
         match reply {
             StoreReply::Item(item) => {
                 if !self.note_archived(&job, item.value.get()) {
@@ -217,7 +219,7 @@
             StoreReply::Missing => {
                 for w in waiting {
                     // It may have been accepted since we looked: then it waits once more.
-                    let later = w.arrived > sent;
+                    let later = w.arrived_at > sent_at;
                     let known =
                         self.mirror.jobs.contains_key(&job) || self.terminal.get(&job).is_some();
                     if later || known {
--- a/crates/cleatfold-control/src/submissions.rs
+++ b/crates/cleatfold-control/src/submissions.rs
@@ -181,6 +181,21 @@
         changes
     }
 
+    /// The acceptance at `version` is durable. Where its answer was slow, others may have run, ended or cancelled the job
+    /// by now and told its user so: what we have read of that is told instead of what stood at first.
+    fn answer_accepted(&mut self, submission: Submission, version: Version) {
+        let Submission { rid, spec, .. } = submission;
+        let job = spec.id.clone();
+        let accepted = |status| Response::Status { code: 201, status };
+        if self.mirror.jobs.get(&job).is_some_and(|live| live.version == version) {
+            self.reply(rid, accepted(status(&job, JobState::Queued, 0, 0)));
+        } else if let Some(status) = self.terminal.get(&job).or_else(|| self.live_status(&job)) {
+            self.reply(rid, accepted(status));
+        } else {
+            self.wait(rid, job, Wait::Known(spec));
+        }
+    }
+
     pub(crate) fn on_submitted(&mut self, batch: Vec<Submission>, txn: Txn, reply: StoreReply) {
         self.submitting.inflight = false;
         match reply {
@@ -198,8 +213,7 @@
                         estimate_s = spec.estimate_s, cpus = spec.cpus,
                         urgency = ?spec.urgency, "accepted"
                     );
-                    let status = status(&job, JobState::Queued, 0, 0);
-                    self.reply(submission.rid, Response::Status { code: 201, status });
+                    self.answer_accepted(submission, version);
                 }
                 self.dirty = true;
                 self.tell(None, Message::Changed);
--- a/crates/cleatfold-control/src/teams.rs
+++ b/crates/cleatfold-control/src/teams.rs
@@ -6,7 +6,7 @@
 
 use crate::effects::*;
 use crate::mirror::Live;
-use crate::node::{Node, Pending};
+use crate::node::{EventNumber, Node, Pending};
 use crate::records::*;
 use crate::workspaces::read_group;
 use cleatfold_wire::team::*;
@@ -31,6 +31,7 @@
     what: TeamAsk,
     since: u64,
     arrived: Ms,
+    arrived_at: EventNumber,
     /// What must have been read of the archive: all that had ended by the reading that counts for it.
     upto: Option<u64>,
 }
@@ -63,7 +64,8 @@
         if self.teams.waiting.iter().filter(|q| q.team == team).count() >= MOST {
             return self.reply(rid, Response::later("too many such questions"));
         }
-        let question = Question { rid, team, what, since, arrived: self.now, upto: None };
+        let (arrived, arrived_at) = (self.now, self.event);
+        let question = Question { rid, team, what, since, arrived, arrived_at, upto: None };
         self.teams.waiting.push(question);
         self.want_sync = true;
         self.sync_if_due();
@@ -79,8 +81,8 @@
         late.into_iter().map(|q| q.rid).collect()
     }
 
-    /// A reading sent at `sent` is in (none: more is known of what has ended).
-    pub(crate) fn answer_teams(&mut self, sent: Option<Ms>) {
+    /// A reading sent at event `sent_at` is in (none: more is known of what has ended).
+    pub(crate) fn answer_teams(&mut self, sent_at: Option<EventNumber>) {
         if self.teams.waiting.is_empty() {
             return;
         }
@@ -88,7 +90,7 @@
         let read = self.workspaces.ended.to();
         let mut behind = false;
         for mut question in std::mem::take(&mut self.teams.waiting) {
-            if question.upto.is_none() && sent.is_some_and(|s| question.arrived <= s) {
+            if question.upto.is_none() && sent_at.is_some_and(|s| question.arrived_at <= s) {
                 question.upto = Some(applied);
             }
             match (question.upto, question.what) {
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -3,6 +3,7 @@
 //!
 //! Time is simulated and all luck is seeded: a seed always plays the same day.
 
+mod answers;
 mod blinks;
 mod drawn;
 mod insistent;
@@ -21,6 +22,7 @@
 mod weights;
 mod workers;
 
+pub use answers::Look;
 pub use blinks::{Back, Blink, Moment, Step, Who};
 pub use drawn::{Aim, Trouble};
 pub use late::Purpose;
@@ -123,6 +125,14 @@
     Copy(usize, Box<Report>),
     /// A user asks about a job that it has submitted.
     Asks(JobId),
+    /// A user does something about a job that has just changed.
+    Looks {
+        node: usize,
+        job: JobId,
+        what: Look,
+    },
+    /// One of the odd requests.
+    Odd,
     /// A worker may have something to do by itself.
     Wake(MachineId),
     MemberAsks {
@@ -268,6 +278,7 @@
     pub moments: moments::Moments,
     pub late: late::Late,
     pub insistent: insistent::Insistent,
+    pub answers: answers::Answers,
 }
 
 impl World {
@@ -342,6 +353,7 @@
             moments: Default::default(),
             late: Default::default(),
             insistent: Default::default(),
+            answers: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -413,6 +425,7 @@
                     }
                     let (there, back) = self.lateness(&request);
                     delay += there;
+                    let lost = lost || self.answer_lost(&request);
                     let answered = !lost && delay + back <= meetings::STORE_MS;
                     if !answered {
                         let reply = match request {
@@ -596,6 +609,8 @@
             Happens::Insists => self.insists(),
             Happens::Copy(node, report) => self.copy_arrives(node, *report),
             Happens::Asks(job) => self.asks(job),
+            Happens::Looks { node, job, what } => self.looks(node, job, what),
+            Happens::Odd => self.odd(),
             Happens::MemberAsks { node, machine, key, number, report } => {
                 if self.nodes[node].is_none() {
                     return;
--- a/crates/cleatfold-lab/src/world/drawn.rs
+++ b/crates/cleatfold-lab/src/world/drawn.rs
@@ -51,6 +51,14 @@
     OverAndBack,
     /// All controllers end and one alone is back soon.
     AllButOne,
+    /// Users ask at all controllers within milliseconds after a job was accepted, has ended or was cancelled.
+    CloseLooks,
+    /// A share of transactions is carried out at once, and only the answer is lost.
+    AnswersLost,
+    /// Users cancel a share of jobs as their last tasks end.
+    CancelAtEnd,
+    /// Users repeat submissions, cancel what is done, and submit what can't run or lacks a field.
+    OddRequests,
 }
 
 /// Which controller the second of two troubles befalls.
@@ -99,6 +107,10 @@
         Trouble::HeldOrders,
         Trouble::OverAndBack,
         Trouble::AllButOne,
+        Trouble::CloseLooks,
+        Trouble::AnswersLost,
+        Trouble::CancelAtEnd,
+        Trouble::OddRequests,
     ];
 
     /// Lasts less than so long, where it does not say itself.
@@ -186,6 +198,13 @@
                 | Trouble::AllButOne,
                 _,
             ) => self.meeting(kind, node, until),
+            (
+                Trouble::CloseLooks
+                | Trouble::AnswersLost
+                | Trouble::CancelAtEnd
+                | Trouble::OddRequests,
+                _,
+            ) => self.answers_trouble(kind, until),
             (_, None) => {}
             (Trouble::Die, Some(machine)) => self.happen(Happens::Die(machine)),
             (Trouble::Hiccup, Some(machine)) => self.hiccup(&machine),
--- a/crates/cleatfold-lab/src/world/users.rs
+++ b/crates/cleatfold-lab/src/world/users.rs
@@ -4,6 +4,7 @@
 
 impl World {
     pub(super) fn on_reply(&mut self, node: usize, rid: u64, response: Response) {
+        self.judge_odd(rid, &response);
         let sent = self.polls.sent.remove(&rid);
         let late = sent.is_some_and(|at| self.now.since(at) > polls::WAITS_MS);
         match self.asked.remove(&(node, rid)) {
@@ -24,6 +25,7 @@
             Some(Asked::Team) => self.team_answer = Some(response),
             Some(asked) if self.cut[node] <= self.now && !late => {
                 self.judge_count(rid, &response);
+                self.judge_order(rid, &asked, &response);
                 self.judge_answer(asked, response)
             }
             _ => {}
@@ -128,6 +130,7 @@
         self.next_rid += 1;
         let rid = self.next_rid;
         self.note_count(rid, &asked);
+        self.note_known(rid, &asked);
         self.asked.insert((node, rid), asked);
         self.give(node, Event::Request { rid, request });
     }
--- a/crates/cleatfold-lab/src/world/watch.rs
+++ b/crates/cleatfold-lab/src/world/watch.rs
@@ -51,6 +51,7 @@
                     }
                     self.see_start(&task, machine);
                     self.see_launch(&task, machine);
+                    self.see_late_start(&task);
                     match self.running.insert(task.clone(), machine.clone()) {
                         Some(other) => self
                             .broken
@@ -65,6 +66,7 @@
                         if let Some(watch) = self.jobs.get_mut(&task.job) {
                             watch.done.insert(task.ix.0);
                         }
+                        self.see_completed(&task);
                     }
                     self.stopped += u32::from(exit == Exit::Stopped);
                 }
--- a/crates/cleatfold-lab/tests/pairs.rs
+++ b/crates/cleatfold-lab/tests/pairs.rs
@@ -71,6 +71,14 @@
     meet(&pairs, 1..2);
 }
 
+#[test]
+fn close_looks_lost_answers_and_odd_requests_meet_others() {
+    use Trouble::*;
+    let pairs = [(CloseLooks, Kill), (AnswersLost, CloseLooks), (CancelAtEnd, AllBlink)];
+    meet(&pairs, 1..2);
+    meet(&[(OddRequests, Apart), (Slow, CloseLooks), (RefusedThenOutage, CancelAtEnd)], 1..2);
+}
+
 /// Every kind makes a mark of its own on the world.
 #[test]
 fn the_troubles_do_what_they_say() {
@@ -109,6 +117,18 @@
     world.happen(Happens::Meets(Trouble::OverAndBack, 1_000, cleatfold_lab::world::Aim::Most));
     world.run(Ms(55_000));
     assert_eq!(world.lives[most], life + 2);
+    let mut world = busy();
+    world.look_closely_until(Ms(60_000));
+    world.lose_answers(0.5, Ms(60_000));
+    world.cancel_at_end(1.0, Ms(60_000));
+    world.odd_requests(Ms(60_000));
+    assert_eq!(world.troubles_over(), Ms(60_000));
+    world.run(Ms(60_000));
+    let marks = &world.answers;
+    assert!(marks.looks > 100 && marks.lost_answers > 20, "{} {}", marks.looks, marks.lost_answers);
+    assert!(marks.cancelled_at_end > 5 && marks.malformed > 10, "{}", marks.cancelled_at_end);
+    assert!(marks.odd_answers.contains_key(&422), "{:?}", marks.odd_answers);
+    assert!(world.broken.is_empty(), "{:#?}", world.broken);
     // A machine that hangs past its lease has lost its tasks by then, not before.
     let mut world = busy();
     let machine = world.running.values().next().expect("a busy machine").clone();
