--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -8,6 +8,7 @@
 mod insistent;
 mod lanes;
 mod late;
+mod leaders;
 mod look;
 mod meetings;
 mod moments;
@@ -15,6 +16,7 @@
 mod services;
 mod size;
 mod sizes;
+mod small_jobs;
 mod troubles;
 mod users;
 mod watch;
@@ -101,6 +103,13 @@
         tokens: BTreeMap<PoolId, Option<Version>>,
         until: Ms,
     },
+    /// Whoever leads ends, so many times more until then.
+    LeaderEnds {
+        left: u32,
+        until: Ms,
+    },
+    /// Users of one-task jobs.
+    SmallJobs,
     Cut {
         node: usize,
         until: Ms,
@@ -267,6 +276,8 @@
     pub meetings: meetings::Meetings,
     pub moments: moments::Moments,
     pub late: late::Late,
+    pub leaders: leaders::Leaders,
+    pub small: small_jobs::SmallJobs,
     pub insistent: insistent::Insistent,
 }
 
@@ -341,6 +352,8 @@
             meetings: Default::default(),
             moments: Default::default(),
             late: Default::default(),
+            leaders: Default::default(),
+            small: Default::default(),
             insistent: Default::default(),
         };
         for i in 0..size.nodes {
@@ -571,8 +584,11 @@
             Happens::Blink(i) => self.blink_node(i),
             Happens::Thaw(i, life) => self.thaw(i, life),
             Happens::Restart(i) if self.nodes[i].is_some() => {}
+            Happens::Restart(i) if self.stays_away(i) => {}
             Happens::Restart(i) => self.nodes[i] = Some(Node::new(config(i, self.size))),
             Happens::Ends { node, back_ms } => self.crash(node, back_ms),
+            Happens::LeaderEnds { left, until } => self.leader_ends(left, until),
+            Happens::SmallJobs => self.small_jobs_go_on(),
             Happens::OnceMoved { node, tokens, until } => self.once_moved(node, tokens, until),
             Happens::Cut { node, until } => self.cut[node] = self.cut[node].max(until),
             Happens::StoreCut { node, until } => self.store_cut[node] = until,
--- a/crates/cleatfold-lab/src/world/blinks.rs
+++ b/crates/cleatfold-lab/src/world/blinks.rs
@@ -36,6 +36,8 @@
     Controller(usize),
     /// All controllers at the same moment.
     All,
+    /// All end, and one alone is back at once: the acting controller, or so many after it.
+    OneReturns(usize),
     /// The machine of the claim, or one of the pool that is dealt with.
     Machine(Back),
 }
@@ -73,6 +75,8 @@
 /// After the controller is back, while it reads.
 const LATE_MS: u64 = 450;
 const BACK_MS: u64 = 120;
+/// Where one alone is back at once, the others are by so much later.
+const OTHERS_BACK_MS: u64 = 12_000;
 
 #[derive(Default)]
 pub struct Blinks {
@@ -174,6 +178,11 @@
                 (0..n).for_each(|i| self.blink_at_once(i));
                 "all".into()
             }
+            Who::OneReturns(offset) => {
+                let one = (due.node + offset) % n;
+                self.one_returns(one, BACK_MS, OTHERS_BACK_MS);
+                format!("all but {}", node_id(one))
+            }
             Who::Machine(back) => {
                 let Some(machine) = self.whose(due) else { return };
                 match back {
@@ -187,6 +196,15 @@
         self.blinks.befell = Some((self.now, whom));
     }
 
+    /// All controllers end; one is back after so long, the others after longer.
+    pub fn one_returns(&mut self, one: usize, back_ms: u64, others_back_ms: u64) {
+        for i in (0..self.nodes.len()).filter(|i| *i != one) {
+            self.crash(i, others_back_ms);
+        }
+        self.crash(one, back_ms);
+        self.at(back_ms, Happens::Restart(one));
+    }
+
     fn blink_at_once(&mut self, i: usize) {
         match self.nodes[i] {
             Some(_) => self.crash(i, BACK_MS),
--- a/crates/cleatfold-lab/src/world/drawn.rs
+++ b/crates/cleatfold-lab/src/world/drawn.rs
@@ -51,6 +51,12 @@
     OverAndBack,
     /// All controllers end and one alone is back soon.
     AllButOne,
+    /// Whoever leads ends, up to ten times, each back within seconds.
+    TenLeaders,
+    /// All controllers are away for longer than the workers' lease, and come back one by one or together.
+    AllAway,
+    /// One-task jobs come four a second, and a quarter of them are cancelled.
+    SmallJobs,
 }
 
 /// Which controller the second of two troubles befalls.
@@ -99,6 +105,9 @@
         Trouble::HeldOrders,
         Trouble::OverAndBack,
         Trouble::AllButOne,
+        Trouble::TenLeaders,
+        Trouble::AllAway,
+        Trouble::SmallJobs,
     ];
 
     /// Lasts less than so long, where it does not say itself.
@@ -107,6 +116,7 @@
             Trouble::Outage => 20_000,
             Trouble::Freeze => 25_000,
             Trouble::Deaf | Trouble::DeafMany | Trouble::Copies => 60_000,
+            Trouble::TenLeaders => 120_000,
             _ => 45_000,
         }
     }
@@ -186,6 +196,8 @@
                 | Trouble::AllButOne,
                 _,
             ) => self.meeting(kind, node, until),
+            (Trouble::TenLeaders | Trouble::AllAway, _) => self.leader_trouble(kind, until),
+            (Trouble::SmallJobs, _) => self.small_jobs(until),
             (_, None) => {}
             (Trouble::Die, Some(machine)) => self.happen(Happens::Die(machine)),
             (Trouble::Hiccup, Some(machine)) => self.hiccup(&machine),
--- a/crates/cleatfold-lab/src/world/watch.rs
+++ b/crates/cleatfold-lab/src/world/watch.rs
@@ -49,6 +49,7 @@
                     if let Some(watch) = self.jobs.get_mut(&task.job) {
                         watch.begun.get_or_insert(now);
                     }
+                    self.note_late_start(&task);
                     self.see_start(&task, machine);
                     self.see_launch(&task, machine);
                     match self.running.insert(task.clone(), machine.clone()) {
--- a/crates/cleatfold-lab/tests/pairs.rs
+++ b/crates/cleatfold-lab/tests/pairs.rs
@@ -71,6 +71,48 @@
     meet(&pairs, 1..2);
 }
 
+#[test]
+fn changing_leaders_and_small_jobs_meet_others() {
+    use Trouble::*;
+    let pairs = [
+        (TenLeaders, Outage),
+        (AllAway, LateWrites),
+        (SmallJobs, TenLeaders),
+        (AllAway, SmallJobs),
+    ];
+    meet(&pairs, 1..2);
+}
+
+/// Leaders end and are back, all controllers are away at the same time, and a quarter of many small jobs is cancelled.
+#[test]
+fn changing_leaders_and_small_jobs_do_what_they_say() {
+    let mut world = World::sized(5, false, Size { machines: 24, ..Size::SMALL });
+    world.run(Ms(20_000));
+    world.small_jobs(Ms(140_000));
+    world.ten_leaders(Ms(140_000));
+    world.run(Ms(140_000));
+    assert_eq!((world.leaders.ended.len(), world.leaders.epochs.len()), (10, 10));
+    let (submitted, cancelled) = (world.small.submitted, world.small.cancelled);
+    assert!((460..=480).contains(&submitted), "{submitted}");
+    assert!((submitted / 6..submitted / 3).contains(&cancelled), "{cancelled} of {submitted}");
+    let lease_ms = world.size.times().lease_ms;
+    world.all_away(lease_ms + 3_000, 2_000);
+    // Nothing else starts one of them before.
+    world.happen(Happens::Restart(0));
+    run_for(&mut world, lease_ms + 2_900);
+    assert_eq!(world.nodes.iter().flatten().count(), 0);
+    run_for(&mut world, 200);
+    assert_eq!(world.nodes.iter().flatten().count(), 1);
+    run_for(&mut world, 4_000);
+    assert_eq!(world.nodes.iter().flatten().count(), 3);
+    assert_eq!(world.leaders.longest_away_ms, lease_ms + 3_000);
+}
+
+fn run_for(world: &mut World, ms: u64) {
+    let until = world.now.plus(ms);
+    world.run(until);
+}
+
 /// Every kind makes a mark of its own on the world.
 #[test]
 fn the_troubles_do_what_they_say() {
