--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -9,6 +9,7 @@
 mod insistent;
 mod lanes;
 mod late;
+mod leaders;
 mod look;
 mod meetings;
 mod moments;
@@ -16,6 +17,7 @@
 mod services;
 mod size;
 mod sizes;
+mod small_jobs;
 mod troubles;
 mod users;
 mod watch;
@@ -103,6 +105,13 @@
         tokens: BTreeMap<PoolId, Option<Version>>,
         until: Ms,
     },
+    /// Whoever leads ends, so many times more until then.
+    LeaderEnds {
+        left: u32,
+        until: Ms,
+    },
+    /// Users of one-task jobs.
+    SmallJobs,
     Cut {
         node: usize,
         until: Ms,
@@ -277,6 +286,8 @@
     pub meetings: meetings::Meetings,
     pub moments: moments::Moments,
     pub late: late::Late,
+    pub leaders: leaders::Leaders,
+    pub small: small_jobs::SmallJobs,
     pub insistent: insistent::Insistent,
     pub answers: answers::Answers,
 }
@@ -352,6 +363,8 @@
             meetings: Default::default(),
             moments: Default::default(),
             late: Default::default(),
+            leaders: Default::default(),
+            small: Default::default(),
             insistent: Default::default(),
             answers: Default::default(),
         };
@@ -584,8 +597,11 @@
             Happens::Blink(i) => self.blink_node(i),
             Happens::Thaw(i, life) => self.thaw(i, life),
             Happens::Restart(i) if self.nodes[i].is_some() => {}
+            Happens::Restart(i) if self.stays_away(i) => {}
             Happens::Restart(i) => self.nodes[i] = Some(Node::new(config(i, self.size))),
             Happens::Ends { node, back_ms } => self.crash(node, back_ms),
+            Happens::LeaderEnds { left, until } => self.leader_ends(left, until),
+            Happens::SmallJobs => self.small_jobs_go_on(),
             Happens::OnceMoved { node, tokens, until } => self.once_moved(node, tokens, until),
             Happens::Cut { node, until } => self.cut[node] = self.cut[node].max(until),
             Happens::StoreCut { node, until } => self.store_cut[node] = until,
