The archive's questions and the state of cancellations import no controller

The control crate's source files import each other in a circle of 22 around Node. A new module state holds what a controller keeps in memory and imports no controller; cancellations are the first in it. The archive's questions take Waiting from where it is defined. No change of behaviour.

--- a/crates/cleatfold-control/src/archive.rs
+++ b/crates/cleatfold-control/src/archive.rs
@@ -8,7 +8,7 @@
 //! answered in time whatever comes of it, and their number is bounded; and what others ended is
 //! read for all jobs at once (`follow`), so that hardly anybody has to ask.
 
-use crate::node::Waiting;
+use crate::pending::Waiting;
 use cleatfold_wire::*;
 use std::collections::BTreeMap;
 
--- a/crates/cleatfold-control/src/cancellations.rs
+++ b/crates/cleatfold-control/src/cancellations.rs
@@ -9,12 +9,6 @@
 
 const LOOK_MS: u64 = 250;
 
-#[derive(Debug, Default)]
-pub(crate) struct Cancellations {
-    notices: cleatfold_notices::Notices,
-    looked: Ms,
-}
-
 impl Node {
     fn peers(&self) -> impl Iterator<Item = &NodeId> {
         self.cfg.peers.iter().map(|p| &p.0)
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -32,6 +32,7 @@
 mod requests;
 mod schedule;
 mod shrink;
+mod state;
 mod steps;
 mod submissions;
 mod teams;
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -99,7 +99,7 @@
     /// Tasks of our machines that are told to leave.
     pub(crate) stops: crate::shrink::Stops,
     pub(crate) completed_at: Ms,
-    pub(crate) cancellations: crate::cancellations::Cancellations,
+    pub(crate) cancellations: crate::state::cancellations::Cancellations,
 }
 
 impl Node {
--- /dev/null
+++ b/crates/cleatfold-control/src/state/cancellations.rs
@@ -0,0 +1,12 @@
+//! Cancellations that are being told to the peers, until each has acknowledged them.
+
+use cleatfold_notices::Notices;
+use cleatfold_wire::Ms;
+
+/// A controller's part in the broadcast of cancellations.
+#[derive(Debug, Default)]
+pub(crate) struct Cancellations {
+    pub notices: Notices,
+    /// When it was last looked what has to be told again.
+    pub looked: Ms,
+}
