The check of the records' version keeps its state in state::format

Format and the moment before which it is not asked again become one struct, FormatCheck, which imports no controller; one field of Node fewer. No change of behaviour.

--- a/crates/cleatfold-control/src/format.rs
+++ b/crates/cleatfold-control/src/format.rs
@@ -8,6 +8,7 @@
 use crate::effects::*;
 use crate::node::{Node, Pending};
 use crate::records::FORMAT_KEY;
+use crate::state::format::Format;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
 use serde::{Deserialize, Serialize};
@@ -22,27 +23,16 @@
     version: u64,
 }
 
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(crate) enum Format {
-    #[default]
-    Unread,
-    Asked,
-    /// Ours; all else may begin.
-    Known,
-    /// Not ours.
-    Refused,
-}
-
 impl Node {
     pub(crate) fn keep_format(&mut self) {
-        if self.format == Format::Unread && self.now >= self.format_again {
-            self.format = Format::Asked;
+        if self.format_check.state == Format::Unread && self.now >= self.format_check.not_before {
+            self.format_check.state = Format::Asked;
             self.store(Lane::Renewal, StoreRequest::Get(FORMAT_KEY.into()), Pending::Format);
         }
     }
 
     pub(crate) fn on_format(&mut self, reply: StoreReply) {
-        self.format = match reply {
+        self.format_check.state = match reply {
             StoreReply::Item(item) => match serde_json::from_str::<Marker>(item.value.get()) {
                 Ok(Marker { version: FORMAT }) => Format::Known,
                 Ok(Marker { version }) => self.refuse_format(&format!(
@@ -63,14 +53,14 @@
 
     /// Ours if the change is known to be durable; whatever else came of it, what stands there is read.
     pub(crate) fn on_format_written(&mut self, reply: StoreReply) {
-        self.format = match reply {
+        self.format_check.state = match reply {
             StoreReply::Committed(_) => Format::Known,
             _ => self.ask_format_again(),
         };
     }
 
     fn ask_format_again(&mut self) -> Format {
-        self.format_again = self.now.plus(AGAIN_MS);
+        self.format_check.not_before = self.now.plus(AGAIN_MS);
         Format::Unread
     }
 
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -26,8 +26,7 @@
     pub(crate) ops: BTreeMap<u64, Pending>,
     pub(crate) resend: Vec<(Ms, u64, Lane, StoreRequest)>,
 
-    pub(crate) format: crate::format::Format,
-    pub(crate) format_again: Ms,
+    pub(crate) format_check: crate::state::format::FormatCheck,
     pub(crate) mirror: Mirror,
     pub(crate) loaded: bool,
     pub(crate) loading: bool,
@@ -114,8 +113,7 @@
             next_op: 1,
             ops: BTreeMap::new(),
             resend: Vec::new(),
-            format: Default::default(),
-            format_again: Ms(0),
+            format_check: Default::default(),
             mirror: Mirror::default(),
             loaded: false,
             loading: false,
@@ -326,7 +324,7 @@
 
     fn keep_lease(&mut self) {
         // Nothing is written before it is known that the records are ours to read.
-        if self.lease_asked || self.format != crate::format::Format::Known {
+        if self.lease_asked || !self.format_check.is_known() {
             return;
         }
         let ttl_ms = self.cfg.node_ttl_ms;
--- a/crates/cleatfold-control/src/state/mod.rs
+++ b/crates/cleatfold-control/src/state/mod.rs
@@ -4,3 +4,4 @@
 //! that act on them through the controller import both.
 
 pub(crate) mod cancellations;
+pub(crate) mod format;
