--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -93,7 +93,7 @@
     pub(crate) workspaces: crate::workspaces::Workspaces,
     pub(crate) teams: crate::teams::Teams,
     pub(crate) lanes: crate::lanes::Lanes,
-    pub(crate) weights: crate::weights::Weights,
+    pub(crate) weights: crate::state::image_distribution::Weights,
     pub(crate) cleanup_inflight: bool,
     /// Tasks of our machines that are told to leave.
     pub(crate) stops: crate::shrink::Stops,
--- a/crates/cleatfold-control/src/state/mod.rs
+++ b/crates/cleatfold-control/src/state/mod.rs
@@ -5,3 +5,4 @@
 
 pub(crate) mod cancellations;
 pub(crate) mod format;
+pub(crate) mod image_distribution;
--- a/crates/cleatfold-control/src/weights.rs
+++ b/crates/cleatfold-control/src/weights.rs
@@ -5,7 +5,7 @@
 use crate::fleet::Machine;
 use crate::node::{Node, Pending};
 use crate::records::*;
-use cleatfold_weights::{Seen, Settings, Spreader, Turn, View, Want};
+use cleatfold_weights::{Seen, Settings, Turn, View, Want};
 use cleatfold_wire::job::Kind;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::worker::{Command, HeldImage, TaskReport, TaskState};
@@ -19,29 +19,6 @@
 /// An image that no more machines want has no record of its own.
 const HANDFUL: usize = 5;
 
-#[derive(Debug, Default)]
-pub(crate) struct Weights {
-    spreader: Spreader,
-    looked: Ms,
-    seats_at: Ms,
-    seats_inflight: bool,
-    /// Machines whose seat the change that is on its way gives back.
-    given_back: BTreeSet<MachineId>,
-    holders_at: Ms,
-    holders_inflight: bool,
-    /// What was seen running in a machine's present session, so that its image is there.
-    ran: BTreeMap<MachineId, (Session, BTreeSet<ImageId>)>,
-    /// Machines with the last copy of something in use.
-    last: BTreeSet<MachineId>,
-}
-
-impl Weights {
-    /// Not to be returned for idleness: others fetch from it, or nobody else has what it has.
-    pub fn needs(&self, id: &MachineId) -> bool {
-        self.spreader.serves(id) || self.last.contains(id)
-    }
-}
-
 impl Node {
     /// At each tick, once we serve.
     pub(crate) fn keep_weights(&mut self) {
