--- a/crates/cleatfold-control/src/losses.rs
+++ b/crates/cleatfold-control/src/losses.rs
@@ -9,10 +9,11 @@
 use crate::effects::*;
 use crate::node::{Node, Pending};
 use crate::records::*;
+use crate::state::losses::{Log, KNOWN};
 use cleatfold_wire::losses::{Loss, TeamLosses};
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// A keeper looks for losses that are not in the log yet so often.
 const LOOK_MS: u64 = 5000;
@@ -20,61 +21,11 @@
 const WAIT_MS: u64 = 60_000;
 /// Of one record of the log; some 100 bytes each.
 const GROUP: usize = 100;
-/// What is kept in memory of what is in a log, and of what is not in it yet. What is above
-/// is still told by its job.
-const KNOWN: usize = 20_000;
 /// A new keeper reads back so many revisions of the logs, and of jobs that ended before it looked; the
 /// service keeps 10,000.
 const BACK: u64 = 9000;
 const BACK_ENDED: u64 = 3000;
 
-type Start = (JobId, TaskIx, Attempt);
-
-/// A team's log, under its workspace's token.
-#[derive(Default)]
-struct Log {
-    token: Version,
-    /// What is in it already is asked for, and has been read.
-    asked: bool,
-    read: bool,
-    known: BTreeSet<Start>,
-    /// In the order in which they were found.
-    waiting: Vec<(Ms, Loss)>,
-    writing: bool,
-}
-
-/// The logs of the teams whose workspaces we keep.
-#[derive(Default)]
-pub(crate) struct Losses {
-    looked: Ms,
-    reading: bool,
-    /// How jobs ended is to be read once more from a while back on.
-    back: bool,
-    logs: BTreeMap<TeamId, Log>,
-}
-
-impl Log {
-    fn find(&mut self, now: Ms, job: &JobId, list: &LossList) {
-        for loss in list.told(job) {
-            let start = (job.clone(), loss.task.ix, loss.attempt);
-            if self.known.len() < KNOWN && self.known.insert(start) {
-                self.waiting.push((now, loss));
-            }
-        }
-    }
-
-    /// The losses of a record of the log are in it.
-    fn note_logged(&mut self, losses: &[Loss]) {
-        for loss in losses {
-            self.known.insert((loss.task.job.clone(), loss.task.ix, loss.attempt));
-        }
-    }
-
-    fn waited(&self, now: Ms) -> u64 {
-        self.waiting.first().map_or(0, |(at, _)| now.since(*at))
-    }
-}
-
 impl Node {
     /// Whose logs are ours to write, and under which token.
     pub(crate) fn note_logs(&mut self, mine: &BTreeMap<TeamId, Version>) {
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -65,7 +65,7 @@
     pub(crate) waiting: Vec<Waiting>,
     pub(crate) terminal: crate::requests::Terminal,
     pub(crate) archive: crate::archive::Lookups,
-    pub(crate) losses: crate::losses::Losses,
+    pub(crate) losses: crate::state::losses::Losses,
 
     pub(crate) fleet: Fleet,
     pub(crate) types_at: Option<Ms>,
