The state of workspaces and their histories imports no controller

Workspaces, Write and the reading of a history's group move from workspaces.rs to state::workspaces, which Node, Pending and teams import. No change of behaviour.

--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -90,7 +90,7 @@
     pub(crate) assigned_at: Ms,
     pub(crate) limits: crate::limits::Limits,
     pub(crate) admission: crate::admission::Admission,
-    pub(crate) workspaces: crate::workspaces::Workspaces,
+    pub(crate) workspaces: crate::state::workspaces::Workspaces,
     pub(crate) teams: crate::teams::Teams,
     pub(crate) lanes: crate::lanes::Lanes,
     pub(crate) weights: crate::state::image_distribution::Weights,
--- a/crates/cleatfold-control/src/pending.rs
+++ b/crates/cleatfold-control/src/pending.rs
@@ -78,7 +78,7 @@
     },
     /// Taking workspaces, or giving one over.
     Workspaces(Vec<TeamId>, HolderRecord),
-    History(Box<crate::workspaces::Write>),
+    History(Box<crate::state::workspaces::Write>),
     /// The oldest groups of a team's history.
     Oldest {
         team: TeamId,
--- a/crates/cleatfold-control/src/state/mod.rs
+++ b/crates/cleatfold-control/src/state/mod.rs
@@ -7,3 +7,4 @@
 pub(crate) mod format;
 pub(crate) mod image_distribution;
 pub(crate) mod losses;
+pub(crate) mod workspaces;
--- a/crates/cleatfold-control/src/teams.rs
+++ b/crates/cleatfold-control/src/teams.rs
@@ -8,7 +8,7 @@
 use crate::mirror::Live;
 use crate::node::{Node, Pending};
 use crate::records::*;
-use crate::workspaces::read_group;
+use crate::state::workspaces::read_group;
 use cleatfold_wire::team::*;
 use cleatfold_wire::*;
 use cleatfold_workspace::page::{by_place, Paper};
--- a/crates/cleatfold-control/src/workspaces.rs
+++ b/crates/cleatfold-control/src/workspaces.rs
@@ -8,10 +8,10 @@
 use crate::effects::*;
 use crate::node::{Node, Pending};
 use crate::records::*;
-use cleatfold_duties::Vacancies;
+use crate::state::workspaces::{read_group, Kept, Listing, Write};
 use cleatfold_wire::store::{Events, Item, Txn};
 use cleatfold_wire::*;
-use cleatfold_workspace::{keeper, End, Ended, GROUP};
+use cleatfold_workspace::{keeper, End, GROUP};
 use std::collections::BTreeMap;
 
 /// How often it is looked whether a workspace stands empty, and whether a history is to be written.
@@ -28,54 +28,6 @@
 /// So many workspaces at most are taken ahead of claims.
 const FEW: usize = 4;
 
-#[derive(Default)]
-pub(crate) struct Workspaces {
-    vacancies: Vacancies<TeamId>,
-    kept: BTreeMap<TeamId, Kept>,
-    pub ended: Ended,
-    /// The whole archive is being gone through.
-    listing: Option<Listing>,
-    looked: Ms,
-    wrote: Ms,
-    followed: Ms,
-    /// Nothing is taken or given before a reading sent after this.
-    unsure: Option<Ms>,
-}
-
-/// A workspace of ours, under its token.
-struct Kept {
-    token: Version,
-    writing: bool,
-    /// Nothing is written before a reading sent after this.
-    unsure: Option<Ms>,
-    looked_for_old: Ms,
-    looking: bool,
-    /// Groups that go with the next change, and the first entry that stays.
-    gone: (Vec<u64>, u64),
-}
-
-/// Ended jobs by the revision that ended them.
-type Found = BTreeMap<(u64, JobId), End>;
-
-#[derive(Default)]
-struct Listing {
-    /// By team: from which revision on its ended jobs are looked for, and what was found.
-    teams: BTreeMap<TeamId, (u64, Found)>,
-    /// The revision of the first page.
-    at: Option<u64>,
-    from: Option<String>,
-    asked: bool,
-}
-
-/// A change to a history, until its outcome is known.
-#[derive(Debug)]
-pub(crate) struct Write {
-    team: TeamId,
-    token: Version,
-    head: HistoryHead,
-    txn: Txn,
-}
-
 fn end(job: &JobId, archive: &ArchiveRecord, version: Version) -> End {
     End { version: version.0, team: archive.team.clone(), entry: archive.entry(job) }
 }
@@ -463,14 +415,3 @@
         kept.gone = self.cfg.history.gone(&head, &oldest, self.wall_ms);
     }
 }
-
-pub(crate) fn read_group(item: &Item) -> Option<(u64, HistoryGroup)> {
-    let number = item.key.rsplit('/').next()?.parse().ok()?;
-    match serde_json::from_str(item.value.get()) {
-        Ok(group) => Some((number, group)),
-        Err(error) => {
-            tracing::error!(key = item.key, %error, "unreadable record");
-            None
-        }
-    }
-}
