--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -91,7 +91,7 @@
     pub(crate) limits: crate::limits::Limits,
     pub(crate) admission: crate::admission::Admission,
     pub(crate) workspaces: crate::state::workspaces::Workspaces,
-    pub(crate) teams: crate::teams::Teams,
+    pub(crate) teams: crate::state::teams::Teams,
     pub(crate) lanes: crate::lanes::Lanes,
     pub(crate) weights: crate::state::image_distribution::Weights,
     pub(crate) cleanup_inflight: bool,
--- a/crates/cleatfold-control/src/pending.rs
+++ b/crates/cleatfold-control/src/pending.rs
@@ -86,7 +86,7 @@
     },
     /// The whole archive, for teams of which it is not known what has ended.
     ArchivePage,
-    TeamHistory(Box<crate::teams::Turning>),
+    TeamHistory(Box<crate::state::teams::Turning>),
     Types,
     List {
         sent: Ms,
--- a/crates/cleatfold-control/src/state/mod.rs
+++ b/crates/cleatfold-control/src/state/mod.rs
@@ -7,4 +7,5 @@
 pub(crate) mod format;
 pub(crate) mod image_distribution;
 pub(crate) mod losses;
+pub(crate) mod teams;
 pub(crate) mod workspaces;
--- a/crates/cleatfold-control/src/teams.rs
+++ b/crates/cleatfold-control/src/teams.rs
@@ -8,6 +8,7 @@
 use crate::mirror::Live;
 use crate::node::{Node, Pending};
 use crate::records::*;
+use crate::state::teams::{Question, Turning};
 use crate::state::workspaces::read_group;
 use cleatfold_wire::team::*;
 use cleatfold_wire::*;
@@ -24,34 +25,6 @@
 /// Groups of a history that are read at once.
 const GROUPS: u32 = 12;
 
-#[derive(Debug)]
-struct Question {
-    rid: u64,
-    team: TeamId,
-    what: TeamAsk,
-    since: u64,
-    arrived: Ms,
-    /// What must have been read of the archive: all that had ended by the reading that counts for it.
-    upto: Option<u64>,
-}
-
-#[derive(Default)]
-pub(crate) struct Teams {
-    waiting: Vec<Question>,
-    /// Which of its team's jobs is the how-manyeth in the queue's order, and when that was so.
-    ranks: (Ms, BTreeMap<JobId, u32>),
-}
-
-/// A history that is being read.
-#[derive(Debug)]
-pub(crate) struct Turning {
-    rid: u64,
-    team: TeamId,
-    since: u64,
-    /// How many entries were in groups when the reading was sent.
-    entries: u64,
-}
-
 impl Node {
     pub(crate) fn on_team(&mut self, rid: u64, team: TeamId, what: TeamAsk, since: u64) {
         if self.cfg.team(&team).is_none() {
