--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -92,7 +92,7 @@
     pub(crate) admission: crate::admission::Admission,
     pub(crate) workspaces: crate::state::workspaces::Workspaces,
     pub(crate) teams: crate::state::teams::Teams,
-    pub(crate) lanes: crate::lanes::Lanes,
+    pub(crate) lanes: crate::state::lanes::Lanes,
     pub(crate) weights: crate::state::image_distribution::Weights,
     pub(crate) cleanup_inflight: bool,
     /// Tasks of our machines that are told to leave.
--- a/crates/cleatfold-control/src/pending.rs
+++ b/crates/cleatfold-control/src/pending.rs
@@ -62,7 +62,7 @@
     Spread,
     Allot,
     /// Room that is being made, and who leaves once that is durable.
-    Made(Box<crate::lanes::Making>),
+    Made(Box<crate::state::lanes::Making>),
     /// What is in the teams' logs already.
     LossLog,
     /// A group of losses for a team's log.
--- a/crates/cleatfold-control/src/state/mod.rs
+++ b/crates/cleatfold-control/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod cancellations;
 pub(crate) mod format;
 pub(crate) mod image_distribution;
+pub(crate) mod lanes;
 pub(crate) mod losses;
 pub(crate) mod teams;
 pub(crate) mod workspaces;
