The measurements of admission import no controller

Admission, LongWork, work and of_a_band move from admission.rs to state::admission, which Node and the queue import. No change of behaviour.

--- a/crates/cleatfold-control/src/admission.rs
+++ b/crates/cleatfold-control/src/admission.rs
@@ -10,17 +10,16 @@
 use crate::mirror::Live;
 use crate::node::{Node, Pending};
 use crate::records::*;
+use crate::state::admission::{work, LongWork};
 use cleatfold_admission::bands;
 use cleatfold_admission::meter::{Largest, Spread};
 use cleatfold_admission::room::{Asks, Room};
-use cleatfold_admission::{
-    decide, Allotment, Band, Bounds, Demand, Entry, Group, Judge, Meter, Small, View,
-};
+use cleatfold_admission::{decide, Allotment, Band, Bounds, Demand, Entry, Group, Small, View};
 use cleatfold_duties::Duty;
 use cleatfold_wire::job::{JobSpec, Kind, Urgency};
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 
 const LOOK_MS: u64 = 1000;
 /// An allotment stands for so long, unless a group comes or goes.
@@ -30,43 +29,6 @@
 /// Bytes that an entry takes in the record, names included.
 const ENTRY_BYTES: usize = 260;
 
-#[derive(Debug, Default)]
-pub(crate) struct Admission {
-    meter: Meter,
-    judge: Judge,
-    /// Jobs that are in the meter.
-    seen: BTreeSet<JobId>,
-    looked: Ms,
-    written: Ms,
-    inflight: bool,
-    /// Processors there were, over the last moments.
-    capacity: VecDeque<(Ms, f64)>,
-    /// How urgent each group's jobs are, as the last one was.
-    urgencies: BTreeMap<Group, Urgency>,
-    /// What each team asks for, by urgency.
-    asks: BTreeMap<TeamId, Vec<Asks<Urgency>>>,
-}
-
-/// Work that runs long beside what others ask for.
-#[derive(Debug, Default)]
-pub(crate) struct LongWork {
-    /// What each team's may hold.
-    pub rooms: BTreeMap<TeamId, Room>,
-    /// Jobs that wait for earlier ones of their team.
-    pub later: BTreeSet<JobId>,
-}
-
-impl LongWork {
-    pub fn is_long(&self, spec: &JobSpec) -> bool {
-        self.rooms.get(&spec.team).is_some_and(|r| r.is_long(spec.estimate_s))
-    }
-}
-
-fn work(spec: &JobSpec, tasks: u32) -> f64 {
-    let run = if spec.kind == Kind::Service { 0.0 } else { spec.estimate_s };
-    f64::from(tasks) * spec.cpus * run
-}
-
 /// For the log: floors of the small, the middle and the largest, in processors.
 fn told(e: &Entry) -> (&TeamId, &ClassId, i64, Option<(i64, i64, bool)>) {
     let upper = e.sizes.as_ref().map(|s| (s.middle / 1000, s.large / 1000, s.short));
@@ -77,27 +39,6 @@
     Bounds { small: must.most, work: largest.work, tasks: largest.tasks }
 }
 
-/// What of a job of an upper band decides how much of it goes before everybody else's.
-pub(crate) fn of_a_band(entry: &Entry, id: &JobId, live: &Live, begin_ms: u64) -> bands::Waiting {
-    let spec = &live.record.spec;
-    let each = live.each.cpus;
-    let within_s = entry.patience_ms.max(begin_ms) as f64 / 1000.0;
-    bands::Waiting {
-        accepted_ms: live.record.accepted_ms,
-        turn: xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes()),
-        begun: live.claimed + live.done > 0,
-        has: live.each.times(live.claimed).cpus,
-        needs: live.each.times(live.unclaimed()).cpus,
-        each,
-        work: work(spec, spec.tasks) as u64,
-        // A gang is whole or nothing.
-        width: match spec.kind {
-            Kind::Gang => live.each.times(spec.tasks).cpus,
-            _ => bands::width(spec.tasks, each, spec.estimate_s, within_s),
-        },
-    }
-}
-
 impl Node {
     /// What the agreement says of the job's group, if it is not served in time.
     pub(crate) fn allotted(&self, live: &Live) -> Option<&Entry> {
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -89,7 +89,7 @@
     pub(crate) renting: crate::renting::Renting,
     pub(crate) assigned_at: Ms,
     pub(crate) limits: crate::limits::Limits,
-    pub(crate) admission: crate::admission::Admission,
+    pub(crate) admission: crate::state::admission::Admission,
     pub(crate) workspaces: crate::state::workspaces::Workspaces,
     pub(crate) teams: crate::state::teams::Teams,
     pub(crate) lanes: crate::state::lanes::Lanes,
--- a/crates/cleatfold-control/src/queue.rs
+++ b/crates/cleatfold-control/src/queue.rs
@@ -1,8 +1,8 @@
 //! The queue's order: what of each job waits for a place, and who goes first.
 
-use crate::admission::of_a_band;
 use crate::mirror::Live;
 use crate::node::Node;
+use crate::state::admission::of_a_band;
 use cleatfold_admission::{bands, order, Band, Sizes};
 use cleatfold_lanes::moments;
 use cleatfold_plan::order::{Guarantees, Place};
--- /dev/null
+++ b/crates/cleatfold-control/src/state/admission.rs
@@ -0,0 +1,69 @@
+//! What each group asks for and what there was to give, as one controller has measured it.
+
+use crate::mirror::Live;
+use cleatfold_admission::room::{Asks, Room};
+use cleatfold_admission::{bands, Entry, Group, Judge, Meter};
+use cleatfold_wire::job::{JobSpec, Kind, Urgency};
+use cleatfold_wire::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The measurements from which the shares under overload are decided.
+#[derive(Debug, Default)]
+pub(crate) struct Admission {
+    pub meter: Meter,
+    pub judge: Judge,
+    /// Jobs that are in the meter.
+    pub seen: BTreeSet<JobId>,
+    pub looked: Ms,
+    pub written: Ms,
+    pub inflight: bool,
+    /// Processors there were, over the last moments.
+    pub capacity: VecDeque<(Ms, f64)>,
+    /// How urgent each group's jobs are, as the last one was.
+    pub urgencies: BTreeMap<Group, Urgency>,
+    /// What each team asks for, by urgency.
+    pub asks: BTreeMap<TeamId, Vec<Asks<Urgency>>>,
+}
+
+/// Work that runs long beside what others ask for.
+#[derive(Debug, Default)]
+pub(crate) struct LongWork {
+    /// What each team's may hold.
+    pub rooms: BTreeMap<TeamId, Room>,
+    /// Jobs that wait for earlier ones of their team.
+    pub later: BTreeSet<JobId>,
+}
+
+impl LongWork {
+    /// Whether a job is long beside what others of its team ask for.
+    pub fn is_long(&self, spec: &JobSpec) -> bool {
+        self.rooms.get(&spec.team).is_some_and(|r| r.is_long(spec.estimate_s))
+    }
+}
+
+/// Processor seconds that so many tasks of a job take by its estimate; a service has no end to be estimated.
+pub(crate) fn work(spec: &JobSpec, tasks: u32) -> f64 {
+    let run = if spec.kind == Kind::Service { 0.0 } else { spec.estimate_s };
+    f64::from(tasks) * spec.cpus * run
+}
+
+/// What of a job of an upper band decides how much of it goes before everybody else's.
+pub(crate) fn of_a_band(entry: &Entry, id: &JobId, live: &Live, begin_ms: u64) -> bands::Waiting {
+    let spec = &live.record.spec;
+    let each = live.each.cpus;
+    let within_s = entry.patience_ms.max(begin_ms) as f64 / 1000.0;
+    bands::Waiting {
+        accepted_ms: live.record.accepted_ms,
+        turn: xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes()),
+        begun: live.claimed + live.done > 0,
+        has: live.each.times(live.claimed).cpus,
+        needs: live.each.times(live.unclaimed()).cpus,
+        each,
+        work: work(spec, spec.tasks) as u64,
+        // A gang is whole or nothing.
+        width: match spec.kind {
+            Kind::Gang => live.each.times(spec.tasks).cpus,
+            _ => bands::width(spec.tasks, each, spec.estimate_s, within_s),
+        },
+    }
+}
--- a/crates/cleatfold-control/src/state/mod.rs
+++ b/crates/cleatfold-control/src/state/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing in here knows the controller (`Node`): these are its parts, so it imports them, and the modules
 //! that act on them through the controller import both.
 
+pub(crate) mod admission;
 pub(crate) mod cancellations;
 pub(crate) mod format;
 pub(crate) mod image_distribution;
