--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -96,7 +96,7 @@
     pub(crate) weights: crate::state::image_distribution::Weights,
     pub(crate) cleanup_inflight: bool,
     /// Tasks of our machines that are told to leave.
-    pub(crate) stops: crate::shrink::Stops,
+    pub(crate) stops: crate::state::stops::Stops,
     pub(crate) completed_at: Ms,
     pub(crate) cancellations: crate::state::cancellations::Cancellations,
 }
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -7,7 +7,7 @@
 use crate::mirror::Live;
 use crate::node::Node;
 use crate::queue::Queued;
-use crate::shrink::YIELD_MS;
+use crate::state::stops::YIELD_MS;
 use cleatfold_lanes::{believed, prompt_ms};
 use cleatfold_plan::chart::FOREVER;
 use cleatfold_plan::{MachineChart, Request, Reservation, Timeline};
--- a/crates/cleatfold-control/src/shrink.rs
+++ b/crates/cleatfold-control/src/shrink.rs
@@ -10,15 +10,14 @@
 use crate::mirror::Live;
 use crate::node::Node;
 use crate::schedule::PoolPlan;
+use crate::state::stops::{Stop, YIELD_MS};
 use cleatfold_lanes::{MadeRoom, Victim};
 use cleatfold_plan::victims::{self, Need, Room, Running, Seat};
 use cleatfold_wire::job::Kind;
 use cleatfold_wire::worker::{Command, Exit, Orders, Report, TaskReport, TaskState};
 use cleatfold_wire::*;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::HashSet;
 
-/// How long a member may go on with its step when its place is wanted, in milliseconds.
-pub(crate) const YIELD_MS: u64 = 2500;
 /// What waits for a member's place should start within this time of its acceptance.
 const START_MS: u64 = 5000;
 /// From a stop to the next task at work there, without what the stop itself takes: the exit's
@@ -33,58 +32,6 @@
 /// The pool that makes room for a job changes so often.
 const TURN_MS: u64 = 3000;
 
-#[derive(Clone, Debug)]
-pub(crate) struct Stop {
-    pub attempt: Attempt,
-    /// When its place should be free.
-    pub until: Ms,
-    pub grace_s: f64,
-}
-
-/// Tasks of our machines that are told to leave, and for whom.
-#[derive(Debug, Default)]
-pub(crate) struct Stops {
-    pub tasks: BTreeMap<MachineId, BTreeMap<(JobId, TaskIx), Stop>>,
-    /// Places on their way: for which job, in which pool, how many, until when.
-    rooms: Vec<(JobId, PoolId, u32, Ms)>,
-}
-
-impl Stops {
-    pub fn get(&self, machine: &MachineId, job: &JobId, ix: TaskIx) -> Option<&Stop> {
-        // Nearly always there is none at all.
-        self.tasks.get(machine)?.get(&(job.clone(), ix))
-    }
-
-    pub fn any(&self, machine: &MachineId) -> bool {
-        self.tasks.contains_key(machine)
-    }
-
-    pub fn remove(&mut self, machine: &MachineId, job: &JobId, ix: TaskIx) {
-        if let Some(on) = self.tasks.get_mut(machine) {
-            on.remove(&(job.clone(), ix));
-            if on.is_empty() {
-                self.tasks.remove(machine);
-            }
-        }
-    }
-
-    pub fn coming(&self, job: &JobId, pool: &PoolId) -> u32 {
-        self.rooms.iter().filter(|r| r.0 == *job && r.1 == *pool).map(|r| r.2).sum()
-    }
-
-    /// Forgets what is over: a claim that ended otherwise, a place long there.
-    fn prune(&mut self, now: Ms, claims: &BTreeMap<MachineId, crate::mirror::MachineClaims>) {
-        self.rooms.retain(|r| r.3 > now);
-        self.tasks.retain(|machine, tasks| {
-            let on = claims.get(machine);
-            tasks.retain(|task, stop| {
-                on.and_then(|c| c.get(task)).is_some_and(|c| c.attempt == stop.attempt)
-            });
-            !tasks.is_empty()
-        });
-    }
-}
-
 /// What of one job waits in a pool's plan.
 struct Wait {
     request: usize,
