--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -76,7 +76,7 @@
     pub(crate) owned_since: BTreeMap<PoolId, (Token, Ms)>,
     pub(crate) held: BTreeMap<MachineId, crate::workers::Held>,
     /// Who reaches whom.
-    pub(crate) reach: crate::reach::Reaching,
+    pub(crate) reach: crate::state::reach::Reaching,
     pub(crate) started: Option<Ms>,
     pub(crate) last_tick: Ms,
     pub(crate) watched: Ms,
@@ -103,7 +103,7 @@
 
 impl Node {
     pub fn new(cfg: Config) -> Self {
-        let reach = crate::reach::Reaching::new(&cfg);
+        let reach = crate::state::reach::Reaching::new(&cfg);
         Self {
             cfg,
             now: Ms(0),
--- a/crates/cleatfold-control/src/reach.rs
+++ b/crates/cleatfold-control/src/reach.rs
@@ -1,10 +1,9 @@
 //! Who reaches whom: what workers and peers show of it, questions to workers that have been quiet, and
 //! pools that follow the workers. `cleatfold_reach` decides.
 
-use crate::config::Config;
 use crate::effects::{Effect, Response};
 use crate::node::Node;
-use cleatfold_reach::{Answer, Came, Hears, Reach, Timing};
+use cleatfold_reach::{Answer, Came, Hears};
 use cleatfold_wire::cloud::MachineState;
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::worker::RawReport;
@@ -17,35 +16,6 @@
 /// Peers say something each second.
 const SILENT_MS: u64 = 3_000;
 
-pub(crate) struct Reaching {
-    pub view: Reach,
-    looked: Ms,
-    told: Ms,
-    /// Zones that we do not reach, as we last saw.
-    lost: BTreeSet<ZoneId>,
-    /// Who held each pool when we last looked.
-    holders: BTreeMap<PoolId, NodeId>,
-    /// To whom we have dealt pools ourselves.
-    dealt: BTreeMap<PoolId, NodeId>,
-}
-
-impl Reaching {
-    pub fn new(cfg: &Config) -> Self {
-        Self {
-            view: Reach::new(Timing { report_ms: cfg.report_ms }),
-            looked: Ms(0),
-            told: Ms(0),
-            lost: BTreeSet::new(),
-            holders: BTreeMap::new(),
-            dealt: BTreeMap::new(),
-        }
-    }
-
-    pub fn dealt(&mut self, pool: &PoolId, node: &NodeId) {
-        self.dealt.insert(pool.clone(), node.clone());
-    }
-}
-
 impl Node {
     /// Asks workers of zones that have been quiet, and tells the others what we do not reach.
     pub(crate) fn keep_reach(&mut self) {
