The reports of elastic jobs' members are judged without the controller

Asked, Judged, judge, write and can_gather move from steps.rs to state::steps, which jobs and news import. can_gather takes the reports in place of all that is known of a job. No change of behaviour.

--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -7,7 +7,7 @@
 use crate::effects::*;
 use crate::node::{Node, Pending};
 use crate::records::*;
-use crate::steps::{judge, Asked, Judged};
+use crate::state::steps::{judge, Asked, Judged};
 use cleatfold_elastic::Verdict;
 use cleatfold_ledger::{claim_order, Selection};
 use cleatfold_wire::job::{JobState, Kind};
@@ -261,7 +261,7 @@
                 steps.finished = progress.finished();
             } else {
                 steps = judge(progress, &record, &mut local.asked, room);
-                crate::steps::write(&mut txn, job, known, &steps);
+                crate::state::steps::write(&mut txn, job, known, &steps);
             }
         }
         local.over = false;
--- a/crates/cleatfold-control/src/news.rs
+++ b/crates/cleatfold-control/src/news.rs
@@ -116,7 +116,7 @@
                 Urgency::BestEffort => 1,
             },
             patience_ms: ((spec.estimate_s * 1000.0) as u64).clamp(LEAST_WAIT_MS, most),
-            gathers: crate::steps::can_gather(local, self.now),
+            gathers: crate::state::steps::can_gather(&local.asked, self.now),
         }
     }
 
--- a/crates/cleatfold-control/src/state/mod.rs
+++ b/crates/cleatfold-control/src/state/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod lanes;
 pub(crate) mod losses;
 pub(crate) mod reach;
+pub(crate) mod steps;
 pub(crate) mod stops;
 pub(crate) mod teams;
 pub(crate) mod workspaces;
--- /dev/null
+++ b/crates/cleatfold-control/src/state/steps.rs
@@ -0,0 +1,70 @@
+//! Reports of elastic jobs' members that wait to be recorded, and what a transaction makes of them.
+//!
+//! Decided from the records alone; who records a report, and when, is the controller's to say.
+
+use crate::mirror::ProgressMap;
+use crate::records::*;
+use cleatfold_elastic::{Ledger, Members, Part, Progress, Verdict};
+use cleatfold_wire::steps::StepReport;
+use cleatfold_wire::store::Txn;
+use cleatfold_wire::*;
+
+/// Finished steps of members that still have work gather for so long.
+const GATHER_MS: u64 = 1000;
+
+/// A member's report that waits to be recorded.
+#[derive(Clone, Debug)]
+pub(crate) struct Asked {
+    pub rid: u64,
+    pub report: Box<StepReport>,
+    pub arrived: Ms,
+    /// The member has nothing to do until it is answered.
+    pub idle: bool,
+}
+
+/// What a transaction makes of reports.
+#[derive(Debug, Default)]
+pub(crate) struct Judged {
+    pub told: Vec<(Asked, Verdict)>,
+    pub changes: Vec<(u32, Part)>,
+    pub complete: bool,
+    pub finished: u32,
+}
+
+/// Judges as many reports as fit into one transaction; the others stay in `asked`.
+pub(crate) fn judge(
+    progress: Progress,
+    record: &JobRecord,
+    asked: &mut Vec<Asked>,
+    parts: usize,
+) -> Judged {
+    let members: Members =
+        record.table.claims.iter().flat_map(|g| g.tasks.iter().copied()).collect();
+    let mut ledger = Ledger::new(progress, &members, members.len() as u32);
+    let mut told = Vec::new();
+    let mut waiting = std::mem::take(asked).into_iter();
+    // A report changes its own parts and at most two that it is given steps of.
+    while ledger.touched() + 2 < parts.max(3) {
+        let Some(next) = waiting.next() else { break };
+        let verdict = ledger.report(&next.report);
+        told.push((next, verdict));
+    }
+    asked.extend(waiting);
+    let (changes, progress) = ledger.into_changes();
+    let (complete, finished) = (progress.is_complete(), progress.finished());
+    Judged { told, changes, complete, finished }
+}
+
+/// Adds the changes of a job's progress to its transaction.
+pub(crate) fn write(txn: &mut Txn, job: &JobId, known: Option<&ProgressMap>, judged: &Judged) {
+    for (number, part) in &judged.changes {
+        let version = known.and_then(|p| p.get(number)).map(|p| p.0).unwrap_or_default();
+        txn.guard(progress_key(job, *number), version);
+        txn.put(progress_key(job, *number), &part.to_record(), None);
+    }
+}
+
+/// Nothing in the reports presses: members go on working meanwhile.
+pub(crate) fn can_gather(asked: &[Asked], now: Ms) -> bool {
+    asked.iter().all(|a| !a.idle && now.since(a.arrived) < GATHER_MS)
+}
