--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -28,8 +28,7 @@
     pub(crate) ops: BTreeMap<u64, Pending>,
     pub(crate) resend: Vec<(Ms, u64, Lane, StoreRequest)>,
 
-    pub(crate) format: crate::format::Format,
-    pub(crate) format_again: Ms,
+    pub(crate) format_check: crate::state::format::FormatCheck,
     pub(crate) mirror: Mirror,
     pub(crate) loaded: bool,
     pub(crate) loading: bool,
@@ -68,7 +67,7 @@
     pub(crate) waiting: Vec<Waiting>,
     pub(crate) terminal: crate::requests::Terminal,
     pub(crate) archive: crate::archive::Lookups,
-    pub(crate) losses: crate::losses::Losses,
+    pub(crate) losses: crate::state::losses::Losses,
 
     pub(crate) fleet: Fleet,
     pub(crate) types_at: Option<Ms>,
@@ -79,7 +78,7 @@
     pub(crate) owned_since: BTreeMap<PoolId, (Token, Ms)>,
     pub(crate) held: BTreeMap<MachineId, crate::workers::Held>,
     /// Who reaches whom.
-    pub(crate) reach: crate::reach::Reaching,
+    pub(crate) reach: crate::state::reach::Reaching,
     pub(crate) started: Option<Ms>,
     pub(crate) last_tick: Ms,
     pub(crate) watched: Ms,
@@ -92,21 +91,21 @@
     pub(crate) renting: crate::renting::Renting,
     pub(crate) assigned_at: Ms,
     pub(crate) limits: crate::limits::Limits,
-    pub(crate) admission: crate::admission::Admission,
-    pub(crate) workspaces: crate::workspaces::Workspaces,
-    pub(crate) teams: crate::teams::Teams,
-    pub(crate) lanes: crate::lanes::Lanes,
-    pub(crate) weights: crate::weights::Weights,
+    pub(crate) admission: crate::state::admission::Admission,
+    pub(crate) workspaces: crate::state::workspaces::Workspaces,
+    pub(crate) teams: crate::state::teams::Teams,
+    pub(crate) lanes: crate::state::lanes::Lanes,
+    pub(crate) weights: crate::state::image_distribution::Weights,
     pub(crate) cleanup_inflight: bool,
     /// Tasks of our machines that are told to leave.
-    pub(crate) stops: crate::shrink::Stops,
+    pub(crate) stops: crate::state::stops::Stops,
     pub(crate) completed_at: Ms,
-    pub(crate) cancellations: crate::cancellations::Cancellations,
+    pub(crate) cancellations: crate::state::cancellations::Cancellations,
 }
 
 impl Node {
     pub fn new(cfg: Config) -> Self {
-        let reach = crate::reach::Reaching::new(&cfg);
+        let reach = crate::state::reach::Reaching::new(&cfg);
         Self {
             cfg,
             now: Ms(0),
@@ -117,8 +116,7 @@
             next_op: 1,
             ops: BTreeMap::new(),
             resend: Vec::new(),
-            format: Default::default(),
-            format_again: Ms(0),
+            format_check: Default::default(),
             mirror: Mirror::default(),
             loaded: false,
             loading: false,
@@ -330,7 +328,7 @@
 
     fn keep_lease(&mut self) {
         // Nothing is written before it is known that the records are ours to read.
-        if self.lease_asked || self.format != crate::format::Format::Known {
+        if self.lease_asked || !self.format_check.is_known() {
             return;
         }
         let ttl_ms = self.cfg.node_ttl_ms;
--- a/crates/cleatfold-control/src/pending.rs
+++ b/crates/cleatfold-control/src/pending.rs
@@ -1,5 +1,6 @@
 //! What waits for an answer: our calls to the services, and those who asked us.
 
+pub(crate) use crate::event_number::EventNumber;
 use crate::jobs::JobTx;
 use crate::records::*;
 use cleatfold_duties::Duty;
@@ -9,11 +10,6 @@
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
 
-/// The number of a handled event. It orders what happens within one millisecond: what an event brings comes before
-/// whatever is sent while it is handled, and after all that was sent at earlier events.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct EventNumber(pub u64);
-
 /// A call to the state service or the cloud that has no answer yet.
 #[derive(Debug)]
 pub(crate) enum Pending {
@@ -68,7 +64,7 @@
     Spread,
     Allot,
     /// Room that is being made, and who leaves once that is durable.
-    Made(Box<crate::lanes::Making>),
+    Made(Box<crate::state::lanes::Making>),
     /// What is in the teams' logs already.
     LossLog,
     /// A group of losses for a team's log.
@@ -84,7 +80,7 @@
     },
     /// Taking workspaces, or giving one over.
     Workspaces(Vec<TeamId>, HolderRecord),
-    History(Box<crate::workspaces::Write>),
+    History(Box<crate::state::workspaces::Write>),
     /// The oldest groups of a team's history.
     Oldest {
         team: TeamId,
@@ -92,7 +88,7 @@
     },
     /// The whole archive, for teams of which it is not known what has ended.
     ArchivePage,
-    TeamHistory(Box<crate::teams::Turning>),
+    TeamHistory(Box<crate::state::teams::Turning>),
     Types,
     List {
         sent: Ms,
--- /dev/null
+++ b/crates/cleatfold-control/src/state/mod.rs
@@ -0,0 +1,16 @@
+//! What a controller keeps in memory, by area of work.
+//!
+//! Nothing in here knows the controller (`Node`): these are its parts, so it imports them, and the modules
+//! that act on them through the controller import both.
+
+pub(crate) mod admission;
+pub(crate) mod cancellations;
+pub(crate) mod format;
+pub(crate) mod image_distribution;
+pub(crate) mod lanes;
+pub(crate) mod losses;
+pub(crate) mod reach;
+pub(crate) mod steps;
+pub(crate) mod stops;
+pub(crate) mod teams;
+pub(crate) mod workspaces;
