--- a/crates/cleatfold-control/tests/claims.rs
+++ b/crates/cleatfold-control/tests/claims.rs
@@ -100,13 +100,15 @@
 
 #[test]
 fn cancellation() {
-    holds(CANCEL, 200_000, &[DONE, ABORTED, ADOPTED, CANCELLED, BOUND]);
+    let reached = [DONE, ABORTED, ADOPTED, CANCELLED, BOUND, AT_END, READ_FIRST];
+    holds(CANCEL, 200_000, &reached);
 }
 
 /// From acceptance to the archive. All of `ACCEPT` and more.
 #[test]
 fn whole() {
-    holds(WHOLE, 200_000, &[DONE, ABORTED, ADOPTED, RELEASED, CANCELLED, BOUND]);
+    let reached = [DONE, ABORTED, ADOPTED, RELEASED, CANCELLED, BOUND, AT_END, READ_FIRST];
+    holds(WHOLE, 200_000, &reached);
 }
 
 /// The shortest way to what breaks without the guard.
--- a/crates/cleatfold-control/tests/claims/search.rs
+++ b/crates/cleatfold-control/tests/claims/search.rs
@@ -24,6 +24,9 @@
 pub const RELEASED: &str = "a claim released after a take-over";
 pub const BESIDE: &str = "an exit that is not recorded, beside another attempt that is alive";
 pub const CANCELLED: &str = "cancelled and not over";
+pub const AT_END: &str =
+    "a cancellation is asked for as the last task has completed and that is not recorded";
+pub const READ_FIRST: &str = "a cancellation was read by another before its author knows of it";
 
 fn print(state: &State) -> u64 {
     let mut hasher = xxhash_rust::xxh3::Xxh3::new();
@@ -82,6 +85,15 @@
     if s.phase == Phase::Bound {
         seen.push(BOUND);
     }
+    let completed = s.completed.iter().take(s.tasks.into()).all(|done| *done);
+    if completed && s.store.job.is_some() && s.nodes.iter().any(|n| n.abort) {
+        seen.push(AT_END);
+    }
+    // Its author still waits for the answer, or for the next reading after a lost one.
+    let knows = |n: &Node| n.mirror.and_then(|m| m.job).is_some_and(|j| j.aborted);
+    if s.nodes.iter().any(knows) && s.nodes.iter().any(|n| n.abort && !knows(n)) {
+        seen.push(READ_FIRST);
+    }
     for (ix, task) in s.store.job.iter().flat_map(|j| j.tasks.iter().enumerate()) {
         if let Task::Claimed { machine, token, attempt } = *task {
             let m = &s.machines[usize::from(machine)];
--- /dev/null
+++ b/crates/cleatfold-control/tests/small_jobs.rs
@@ -0,0 +1,68 @@
+//! One-task jobs, four a second for minutes, a quarter of them cancelled.
+
+mod meeting;
+
+use cleatfold_lab::world::World;
+use cleatfold_wire::job::JobState;
+use cleatfold_wire::*;
+use meeting::*;
+
+/// A start that was on its way when the user was told: the network takes less.
+const ON_ITS_WAY_MS: u64 = 20;
+const MINUTES: Ms = Ms(185_000);
+
+/// The region after three minutes of them and some more until all have ended.
+fn day(seed: u64, befalls: impl FnOnce(&mut World)) -> World {
+    let mut world = region(seed, 24);
+    world.run(Ms(5_000));
+    world.small_jobs(MINUTES);
+    world.run(Ms(30_000));
+    befalls(&mut world);
+    world.run(MINUTES);
+    ends_well_asked(&mut world, 200_000, &format!("seed {seed}"));
+    world
+}
+
+/// Each user was told how it ended, and rightly: done what was done, aborted what was cancelled before that.
+fn all_were_told(world: &World) {
+    let accepted = world.jobs.values().filter(|j| j.accepted);
+    let (mut done, mut aborted) = (0, 0);
+    for job in accepted {
+        match job.told {
+            Some(JobState::Done) => {
+                assert_eq!(job.done.len(), 1);
+                done += 1;
+            }
+            Some(JobState::Aborted) => {
+                assert!(job.cancel_asked && job.cancel_told.is_some());
+                aborted += 1;
+            }
+            told => panic!("{:?} was told {told:?}", job.spec.as_ref().map(|s| &s.id)),
+        }
+    }
+    println!("{} submitted, {done} done, {aborted} aborted", world.small.submitted);
+    assert!(done + aborted >= 700, "{done} done, {aborted} aborted");
+    assert!(aborted * 6 > done + aborted, "{aborted} aborted of {}", done + aborted);
+    assert!(world.polls.forgotten.is_empty() && world.polls.longest_ms < 75_000);
+    // Nothing is ordered once it is known that a job is cancelled.
+    let late = &world.small.late_starts;
+    assert!(late.iter().all(|(_, after_ms)| *after_ms <= ON_ITS_WAY_MS), "{late:?}");
+    assert!(late.len() * 50 < aborted, "{late:?} of {aborted}");
+}
+
+#[test]
+fn small_jobs_are_told_rightly() {
+    for seed in 1..3 {
+        let world = day(seed, |_| {});
+        all_were_told(&world);
+    }
+}
+
+#[test]
+fn small_jobs_are_told_rightly_while_leaders_end() {
+    for seed in 11..13 {
+        let world = day(seed, |world| world.ten_leaders(Ms(150_000)));
+        assert_eq!(world.leaders.ended.len(), 10);
+        all_were_told(&world);
+    }
+}
