Small jobs where few changes a second are allowed, and leaders that end meanwhile

Cause: small jobs were tested only where there are changes enough for them.

Conclusion: no fault found.

--- a/crates/cleatfold-control/tests/small_jobs.rs
+++ b/crates/cleatfold-control/tests/small_jobs.rs
@@ -2,18 +2,21 @@
 
 mod meeting;
 
-use cleatfold_lab::world::World;
+use cleatfold_lab::world::{Size, World};
 use cleatfold_wire::job::JobState;
 use cleatfold_wire::*;
 use meeting::*;
 
 /// A start that was on its way when the user was told: the network takes less.
 const ON_ITS_WAY_MS: u64 = 20;
+const CHANGES_PER_S: f64 = Size::SMALL.changes_per_s;
 const MINUTES: Ms = Ms(185_000);
 
 /// The region after three minutes of them and some more until all have ended.
-fn day(seed: u64, befalls: impl FnOnce(&mut World)) -> World {
-    let mut world = region(seed, 24);
+fn day(seed: u64, changes_per_s: f64, befalls: impl FnOnce(&mut World)) -> World {
+    let size = Size { most_jobs: 0, machines: 24, changes_per_s, ..Size::SMALL };
+    let mut world = World::sized(seed, false, size);
+    world.poll_everything();
     world.run(Ms(5_000));
     world.small_jobs(MINUTES);
     world.run(Ms(30_000));
@@ -53,7 +56,7 @@
 #[test]
 fn small_jobs_are_told_rightly() {
     for seed in 1..3 {
-        let world = day(seed, |_| {});
+        let world = day(seed, CHANGES_PER_S, |_| {});
         all_were_told(&world);
     }
 }
@@ -61,8 +64,15 @@
 #[test]
 fn small_jobs_are_told_rightly_while_leaders_end() {
     for seed in 11..13 {
-        let world = day(seed, |world| world.ten_leaders(Ms(150_000)));
+        let world = day(seed, CHANGES_PER_S, |world| world.ten_leaders(Ms(150_000)));
         assert_eq!(world.leaders.ended.len(), 10);
         all_were_told(&world);
     }
 }
+
+/// Fewer changes a second are allowed than these jobs need: they wait, and their users still hear of each.
+#[test]
+fn small_jobs_are_told_rightly_where_few_changes_are_allowed() {
+    let world = day(22, 15.0, |world| world.ten_leaders(Ms(150_000)));
+    all_were_told(&world);
+}
