Name: the notices of cancellations are a cancellation broadcast

Notices becomes CancellationBroadcast, Notice Unacknowledged, owed peers; constants and doc comments say what they count. Its test changes in names only. No change of behaviour.

--- a/crates/cleatfold-control/src/cancellations.rs
+++ b/crates/cleatfold-control/src/cancellations.rs
@@ -1,6 +1,7 @@
-//! Cancellations that are told over the mesh, beside what is read. `cleatfold_notices` decides whom to tell.
+//! The broadcast of cancellations over the mesh, beside the reading of the state service. `cleatfold_notices`
+//! decides whom to tell.
 //!
-//! A notice makes an owner stop a job's tasks earlier than its next reading would; it records nothing, answers no
+//! A broadcast cancellation makes an owner stop a job's tasks earlier than its next reading would; it records nothing, answers no
 //! user, and renews no worker's lease. How long an owner may answer without a reading stays as it is.
 
 use crate::node::Node;
@@ -17,7 +18,7 @@
     /// Cancelled, by what a peer told or by what we did or read.
     pub(crate) fn is_cancelled(&self, job: &JobId) -> bool {
         self.mirror.jobs.get(job).is_some_and(|j| j.record.aborted)
-            || self.cancellations.notices.knows(job)
+            || self.cancellations.broadcast.knows(job)
     }
 
     /// Our transaction has cancelled the job.
@@ -26,9 +27,9 @@
         let pools = live.into_iter().flat_map(|l| &l.by_pool).filter(|p| p.1 > 0);
         let holders = pools.filter_map(|p| self.mirror.pools.get(&p.0));
         let owners: Vec<NodeId> = holders.map(|h| h.owner.clone()).collect();
-        let mut notices = std::mem::take(&mut self.cancellations.notices);
-        notices.confirmed(job, &owners, self.peers(), self.now);
-        self.cancellations.notices = notices;
+        let mut broadcast = std::mem::take(&mut self.cancellations.broadcast);
+        broadcast.confirmed(job, &owners, self.peers(), self.now);
+        self.cancellations.broadcast = broadcast;
         self.tell_cancelled();
     }
 
@@ -38,9 +39,9 @@
         if read.is_empty() {
             return;
         }
-        let mut notices = std::mem::take(&mut self.cancellations.notices);
-        read.iter().for_each(|job| notices.read(job, self.peers(), self.now));
-        self.cancellations.notices = notices;
+        let mut broadcast = std::mem::take(&mut self.cancellations.broadcast);
+        read.iter().for_each(|job| broadcast.read(job, self.peers(), self.now));
+        self.cancellations.broadcast = broadcast;
     }
 
     /// At each tick.
@@ -53,7 +54,7 @@
 
     fn tell_cancelled(&mut self) {
         let (peers, keep_ms) = (&self.reach.view.peers, self.cfg.cancel_ms);
-        let due = self.cancellations.notices.due(self.now, keep_ms, |n| peers.contact(n));
+        let due = self.cancellations.broadcast.due(self.now, keep_ms, |n| peers.contact(n));
         for (peer, jobs) in due {
             let jobs = jobs.iter().map(|j| j.to_string()).collect();
             self.tell(Some(peer), Message::Cancelled { jobs });
@@ -61,19 +62,20 @@
     }
 
     pub(crate) fn on_cancelled(&mut self, from: NodeId, jobs: Vec<String>) {
-        let mut notices = std::mem::take(&mut self.cancellations.notices);
+        let mut broadcast = std::mem::take(&mut self.cancellations.broadcast);
         for job in jobs.iter().map(JobId::new) {
-            if notices.told(&job, &from, self.peers(), self.now) {
+            if broadcast.told(&job, &from, self.peers(), self.now) {
                 // Its machines' reports call for orders now, though they say what they said before.
                 self.mirror.restamp(&job);
             }
         }
-        self.cancellations.notices = notices;
+        self.cancellations.broadcast = broadcast;
         self.tell(Some(from), Message::CancelledAck { jobs });
         self.tell_cancelled();
     }
 
     pub(crate) fn on_cancelled_ack(&mut self, from: &NodeId, jobs: &[String]) {
-        jobs.iter().for_each(|job| self.cancellations.notices.acknowledged(from, &JobId::new(job)));
+        jobs.iter()
+            .for_each(|job| self.cancellations.broadcast.acknowledged(from, &JobId::new(job)));
     }
 }
--- a/crates/cleatfold-control/src/state/cancellations.rs
+++ b/crates/cleatfold-control/src/state/cancellations.rs
@@ -1,12 +1,12 @@
 //! Cancellations that are being told to the peers, until each has acknowledged them.
 
-use cleatfold_notices::Notices;
+use cleatfold_notices::CancellationBroadcast;
 use cleatfold_wire::Ms;
 
 /// A controller's part in the broadcast of cancellations.
 #[derive(Debug, Default)]
 pub(crate) struct Cancellations {
-    pub notices: Notices,
+    pub broadcast: CancellationBroadcast,
     /// When it was last looked what has to be told again.
     pub looked: Ms,
 }
--- a/crates/cleatfold-notices/src/lib.rs
+++ b/crates/cleatfold-notices/src/lib.rs
@@ -1,4 +1,5 @@
-//! Cancellations that a controller knows to be durable, and who of the others may not have heard of them.
+//! The broadcast of cancellations: which ones a controller knows to be durable, and which peers have not
+//! acknowledged them.
 //!
 //! An owner that cannot read the state service goes on answering its workers for a while. A peer that knows of a
 //! cancellation tells it, again and again until that is acknowledged or the peer is known to have read the state
@@ -10,32 +11,34 @@
 use cleatfold_wire::{JobId, Ms, NodeId};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A peer that has not acknowledged is told again after so long.
-const REPEAT_MS: u64 = 500;
-/// What was read in the state service most peers read as well: they say so each second.
-const PATIENCE_MS: u64 = 2_000;
-/// Of one message.
-const TOLD: usize = 256;
-/// Of one controller; the oldest are forgotten first.
-const KEPT: usize = 4_096;
+/// A peer that has not acknowledged a cancellation is told again after this time.
+const RETRY_MS: u64 = 500;
+/// Most peers read in the state service what we read, and say so each second; the others are told after this time.
+const READ_GRACE_MS: u64 = 2_000;
+/// Cancellations of one message at most.
+const MESSAGE_JOBS: usize = 256;
+/// Cancellations that one controller remembers at most; the oldest are forgotten first.
+const KNOWN_JOBS: usize = 4_096;
 
+/// A cancellation that some peer has not acknowledged.
 #[derive(Clone, Debug)]
-struct Notice {
-    /// It was durable by then.
-    at: Ms,
-    /// Peers that may not know, and when each is told next.
-    owed: BTreeMap<NodeId, Ms>,
+struct Unacknowledged {
+    /// The cancellation was durable by then.
+    durable_at: Ms,
+    /// Peers that may not know of it, and when each is told next.
+    peers: BTreeMap<NodeId, Ms>,
 }
 
+/// What one controller knows of cancelled jobs, and whom it has still to tell.
 #[derive(Clone, Debug, Default)]
-pub struct Notices {
+pub struct CancellationBroadcast {
     known: BTreeMap<JobId, Ms>,
     by_age: BTreeSet<(Ms, JobId)>,
-    /// Of those that are known, what some peer may not have heard.
-    open: BTreeMap<JobId, Notice>,
+    /// Of the known cancellations, those that some peer may not know of.
+    open: BTreeMap<JobId, Unacknowledged>,
 }
 
-impl Notices {
+impl CancellationBroadcast {
     /// Our own change has cancelled the job: whoever holds tasks of it (`owners`) is told at once, the others
     /// unless they read it meanwhile.
     pub fn confirmed<'a>(
@@ -45,13 +48,13 @@
         peers: impl Iterator<Item = &'a NodeId>,
         now: Ms,
     ) {
-        let first = |n: &NodeId| if owners.contains(n) { now } else { now.plus(PATIENCE_MS) };
+        let first = |n: &NodeId| if owners.contains(n) { now } else { now.plus(READ_GRACE_MS) };
         self.note(job, now, peers, first);
     }
 
     /// The state service says so.
     pub fn read<'a>(&mut self, job: &JobId, peers: impl Iterator<Item = &'a NodeId>, now: Ms) {
-        self.note(job, now, peers, |_| now.plus(PATIENCE_MS));
+        self.note(job, now, peers, |_| now.plus(READ_GRACE_MS));
     }
 
     /// A peer says so, which therefore knows. True if it is news.
@@ -77,11 +80,11 @@
         if self.known.contains_key(job) {
             return false;
         }
-        let owed = peers.map(|n| (n.clone(), first(n))).collect();
+        let peers = peers.map(|n| (n.clone(), first(n))).collect();
         self.known.insert(job.clone(), now);
         self.by_age.insert((now, job.clone()));
-        self.open.insert(job.clone(), Notice { at: now, owed });
-        if self.known.len() > KEPT {
+        self.open.insert(job.clone(), Unacknowledged { durable_at: now, peers });
+        if self.known.len() > KNOWN_JOBS {
             self.forget_oldest();
         }
         true
@@ -94,10 +97,11 @@
         }
     }
 
+    /// The peer knows of the cancellation.
     pub fn acknowledged(&mut self, peer: &NodeId, job: &JobId) {
-        if let Some(notice) = self.open.get_mut(job) {
-            notice.owed.remove(peer);
-            if notice.owed.is_empty() {
+        if let Some(cancellation) = self.open.get_mut(job) {
+            cancellation.peers.remove(peer);
+            if cancellation.peers.is_empty() {
                 self.open.remove(job);
             }
         }
@@ -120,17 +124,18 @@
             self.forget_oldest();
         }
         let mut due: BTreeMap<NodeId, Vec<JobId>> = BTreeMap::new();
-        self.open.retain(|job, notice| {
-            let at = notice.at;
-            notice.owed.retain(|peer, _| read(peer).is_none_or(|r| r <= at));
-            for (peer, next) in notice.owed.iter_mut().filter(|(_, next)| **next <= now) {
+        self.open.retain(|job, cancellation| {
+            let durable_at = cancellation.durable_at;
+            cancellation.peers.retain(|peer, _| read(peer).is_none_or(|r| r <= durable_at));
+            let due_peers = cancellation.peers.iter_mut().filter(|(_, next)| **next <= now);
+            for (peer, next) in due_peers {
                 let jobs = due.entry(peer.clone()).or_default();
-                if jobs.len() < TOLD {
-                    *next = now.plus(REPEAT_MS);
+                if jobs.len() < MESSAGE_JOBS {
+                    *next = now.plus(RETRY_MS);
                     jobs.push(job.clone());
                 }
             }
-            !notice.owed.is_empty()
+            !cancellation.peers.is_empty()
         });
         due
     }
--- a/crates/cleatfold-notices/tests/notices.rs
+++ b/crates/cleatfold-notices/tests/notices.rs
@@ -1,6 +1,6 @@
 //! Controllers that tell one another, over a mesh that loses and cuts: compared with who can have heard.
 
-use cleatfold_notices::Notices;
+use cleatfold_notices::CancellationBroadcast;
 use cleatfold_wire::{JobId, Ms, NodeId};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
@@ -21,7 +21,7 @@
 }
 
 /// Each second: what is due is sent and acknowledged over the links that are up, several times over.
-fn second(all: &mut [Notices], up: &BTreeSet<(usize, usize)>, now: Ms) -> usize {
+fn second(all: &mut [CancellationBroadcast], up: &BTreeSet<(usize, usize)>, now: Ms) -> usize {
     let mut sent = 0;
     for half in 0..2 {
         let now = now.plus(500 * half);
@@ -54,7 +54,7 @@
         links in proptest::collection::btree_set((0..NODES, 0..NODES), 0..12),
         confirmed in proptest::collection::vec((0..NODES, 0u8..6), 1..6),
     ) {
-        let mut all = vec![Notices::default(); NODES];
+        let mut all = vec![CancellationBroadcast::default(); NODES];
         let now = Ms(1000);
         for (at, n) in &confirmed {
             all[*at].confirmed(&job(*n), &[], peers(*at).iter(), now);
@@ -70,8 +70,8 @@
                     links.iter().filter(|(a, _)| knows.contains(a)).map(|l| l.1).collect();
                 knows.extend(hears);
             }
-            for (i, notices) in all.iter().enumerate() {
-                prop_assert_eq!(notices.knows(&job(n)), knows.contains(&i), "job {} at {}", n, i);
+            for (i, broadcast) in all.iter().enumerate() {
+                prop_assert_eq!(broadcast.knows(&job(n)), knows.contains(&i), "job {} at {}", n, i);
             }
         }
     }
@@ -79,39 +79,39 @@
 
 #[test]
 fn nobody_is_told_twice_what_he_acknowledged_nor_what_he_has_read() {
-    let mut notices = Notices::default();
+    let mut broadcast = CancellationBroadcast::default();
     let (owner, other) = (node(1), node(2));
-    notices.confirmed(
+    broadcast.confirmed(
         &job(1),
         std::slice::from_ref(&owner),
         [&owner, &other].into_iter(),
         Ms(1000),
     );
-    let due = notices.due(Ms(1000), KEEP_MS, |_| None);
+    let due = broadcast.due(Ms(1000), KEEP_MS, |_| None);
     assert_eq!(due.keys().collect::<Vec<_>>(), [&owner], "the owner at once, alone");
-    assert!(notices.due(Ms(1400), KEEP_MS, |_| None).is_empty());
-    assert_eq!(notices.due(Ms(1500), KEEP_MS, |_| None).len(), 1, "again, for nothing came back");
-    notices.acknowledged(&owner, &job(1));
+    assert!(broadcast.due(Ms(1400), KEEP_MS, |_| None).is_empty());
+    assert_eq!(broadcast.due(Ms(1500), KEEP_MS, |_| None).len(), 1, "again, for nothing came back");
+    broadcast.acknowledged(&owner, &job(1));
     // It was read before the job was cancelled; then after.
     assert_eq!(
-        notices.due(Ms(3000), KEEP_MS, |_| Some(Ms(1000))).keys().collect::<Vec<_>>(),
+        broadcast.due(Ms(3000), KEEP_MS, |_| Some(Ms(1000))).keys().collect::<Vec<_>>(),
         [&other]
     );
-    assert!(notices.due(Ms(9000), KEEP_MS, |_| Some(Ms(1001))).is_empty());
-    assert!(notices.knows(&job(1)));
-    notices.due(Ms(1001 + KEEP_MS), KEEP_MS, |_| None);
-    assert!(!notices.knows(&job(1)), "kept for ever");
+    assert!(broadcast.due(Ms(9000), KEEP_MS, |_| Some(Ms(1001))).is_empty());
+    assert!(broadcast.knows(&job(1)));
+    broadcast.due(Ms(1001 + KEEP_MS), KEEP_MS, |_| None);
+    assert!(!broadcast.knows(&job(1)), "kept for ever");
 }
 
 /// Twice as many as are kept, and most of them never acknowledged.
 #[test]
 fn what_is_kept_and_said_at_once_is_bounded() {
-    let mut notices = Notices::default();
+    let mut broadcast = CancellationBroadcast::default();
     let peer = node(1);
     for n in 0..16_000 {
-        notices.read(&JobId::new(format!("run-{n}")), [&peer].into_iter(), Ms(1000 + n));
+        broadcast.read(&JobId::new(format!("run-{n}")), [&peer].into_iter(), Ms(1000 + n));
     }
-    assert!(!notices.knows(&JobId::new("run-0")) && notices.knows(&JobId::new("run-15999")));
-    let due = notices.due(Ms(30_000), KEEP_MS, |_| None);
+    assert!(!broadcast.knows(&JobId::new("run-0")) && broadcast.knows(&JobId::new("run-15999")));
+    let due = broadcast.due(Ms(30_000), KEEP_MS, |_| None);
     assert!(due[&peer].len() <= 256);
 }
