Name: the spreader of weights is an image distributor

Spreader becomes ImageDistributor, the control crate's Weights ImageDistribution, and Node's field image_distribution. Settings, records and log lines keep their spelling. Tests change in names only.

--- a/crates/cleatfold-control/src/machines.rs
+++ b/crates/cleatfold-control/src/machines.rs
@@ -278,7 +278,8 @@
             let useful = &mut own.useful[usize::from(m.spot)];
             let useless = *useful <= 0.0;
             *useful -= own.cpus;
-            let unused = now.since(idle_since) > idle_limit && useless && !self.weights.needs(id);
+            let unused =
+                now.since(idle_since) > idle_limit && useless && !self.image_distribution.needs(id);
             if m.draining || unused {
                 delete.push(id.clone());
             }
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -93,7 +93,7 @@
     pub(crate) workspaces: crate::state::workspaces::Workspaces,
     pub(crate) teams: crate::state::teams::Teams,
     pub(crate) lanes: crate::state::lanes::Lanes,
-    pub(crate) weights: crate::state::image_distribution::Weights,
+    pub(crate) image_distribution: crate::state::image_distribution::ImageDistribution,
     pub(crate) cleanup_inflight: bool,
     /// Tasks of our machines that are told to leave.
     pub(crate) stops: crate::state::stops::Stops,
@@ -168,7 +168,7 @@
             workspaces: Default::default(),
             teams: Default::default(),
             lanes: Default::default(),
-            weights: Default::default(),
+            image_distribution: Default::default(),
             cleanup_inflight: false,
             stops: Default::default(),
             completed_at: Ms(0),
--- a/crates/cleatfold-control/src/state/image_distribution.rs
+++ b/crates/cleatfold-control/src/state/image_distribution.rs
@@ -1,13 +1,13 @@
 //! The distribution of images that many machines want at once, as one controller keeps it.
 
-use cleatfold_weights::Spreader;
+use cleatfold_weights::ImageDistributor;
 use cleatfold_wire::{ImageId, MachineId, Ms, Session};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Which machine fetches which image from where, and the changes to its records that are on their way.
 #[derive(Debug, Default)]
-pub(crate) struct Weights {
-    pub spreader: Spreader,
+pub(crate) struct ImageDistribution {
+    pub distributor: ImageDistributor,
     pub looked: Ms,
     pub seats_at: Ms,
     pub seats_inflight: bool,
@@ -21,9 +21,9 @@
     pub last: BTreeSet<MachineId>,
 }
 
-impl Weights {
+impl ImageDistribution {
     /// Not to be returned for idleness: others fetch from it, or nobody else has what it has.
     pub fn needs(&self, id: &MachineId) -> bool {
-        self.spreader.serves(id) || self.last.contains(id)
+        self.distributor.serves(id) || self.last.contains(id)
     }
 }
--- a/crates/cleatfold-control/src/weights.rs
+++ b/crates/cleatfold-control/src/weights.rs
@@ -1,5 +1,5 @@
-//! Images that many machines want at once. `cleatfold_weights` decides; here is what it decides from,
-//! what becomes of it, and the two records.
+//! The distribution of images that many machines want at once: what `cleatfold_weights` decides from, what
+//! becomes of its decisions, and the two records.
 
 use crate::effects::*;
 use crate::fleet::Machine;
@@ -23,10 +23,12 @@
     /// At each tick, once we serve.
     pub(crate) fn keep_weights(&mut self) {
         let Some(settings) = self.cfg.weights.clone() else { return };
-        if self.now.since(self.weights.looked) < LOOK_MS * self.stretch || !self.in_contact() {
+        if self.now.since(self.image_distribution.looked) < LOOK_MS * self.stretch
+            || !self.in_contact()
+        {
             return;
         }
-        self.weights.looked = self.now;
+        self.image_distribution.looked = self.now;
         self.note_ran();
         let (wants, in_use) = self.wants(&settings);
         let seen = self.seen(&settings);
@@ -35,8 +37,8 @@
             self.owned_since.keys().filter(|p| self.my_token(p).is_some()).cloned().collect();
         let spreads: BTreeMap<ImageId, SpreadRecord> =
             self.mirror.weights.iter().map(|(i, r)| (i.clone(), r.1.clone())).collect();
-        let mut spreader = std::mem::take(&mut self.weights.spreader);
-        let (origin, come) = spreader.pass(&View {
+        let mut distributor = std::mem::take(&mut self.image_distribution.distributor);
+        let (origin, come) = distributor.pass(&View {
             now: self.now,
             wall_ms: self.wall_ms,
             value_bytes: self.cfg.value_bytes,
@@ -50,7 +52,7 @@
             gone: &|id| self.fetches_nothing(id),
             endpoints: &|id| self.fleet.machines.get(id)?.endpoint.clone(),
         });
-        self.weights.spreader = spreader;
+        self.image_distribution.distributor = distributor;
         if let Some(origin) = origin {
             self.write_seats(origin);
         }
@@ -175,7 +177,7 @@
         if let Some(held) = &report.images {
             return held.iter().map(|i| (i.image.clone(), i.part)).collect();
         }
-        let ran = self.weights.ran.get(id).filter(|r| r.0 == report.session);
+        let ran = self.image_distribution.ran.get(id).filter(|r| r.0 == report.session);
         let kept = |i: &&ImageId| machine.images.iter().any(|m| m.0 == **i);
         let ran = ran.into_iter().flat_map(|r| r.1.iter()).filter(kept);
         ran.map(|image| (image.clone(), 1.0)).collect()
@@ -183,14 +185,14 @@
 
     fn note_ran(&mut self) {
         let machines = &self.fleet.machines;
-        self.weights.ran.retain(|id, _| machines.contains_key(id));
+        self.image_distribution.ran.retain(|id, _| machines.contains_key(id));
         for (id, machine) in machines {
             let Some(report) = &machine.report else { continue };
             let running = report.tasks.iter().filter(|t| t.state == TaskState::Running);
             for task in running {
                 let Some(live) = self.mirror.jobs.get(&task.task.job) else { continue };
                 let fresh = || (report.session, BTreeSet::new());
-                let ran = self.weights.ran.entry(id.clone()).or_insert_with(fresh);
+                let ran = self.image_distribution.ran.entry(id.clone()).or_insert_with(fresh);
                 if ran.0 != report.session {
                     *ran = fresh();
                 }
@@ -212,7 +214,7 @@
         if self.images_there(id, machine).get(&spec.image).is_some_and(|part| *part >= 1.0) {
             return Some(vec![]);
         }
-        match self.weights.spreader.turn(id, &spec.image)? {
+        match self.image_distribution.distributor.turn(id, &spec.image)? {
             // One that lists its images has just said that it is not: it came back with an empty cache
             // since turns were last looked at, and would have fetched without a seat.
             Turn::Here => {
@@ -224,7 +226,7 @@
             Turn::Origin => {
                 let seat = self.mirror.origin.1.seats.get(id)?;
                 let stands = seat.image == spec.image && seat.pool == machine.pool;
-                (stands && !self.weights.given_back.contains(id)).then(Vec::new)
+                (stands && !self.image_distribution.given_back.contains(id)).then(Vec::new)
             }
         }
     }
@@ -233,7 +235,7 @@
     pub(crate) fn new_sources(&self, id: &MachineId, tasks: &[TaskReport]) -> Vec<Command> {
         // Only what was decided since it said so. (By the turn that it had, a stuck machine was sent back
         // to the source that had failed it at each report, and never stood still long enough to be seen.)
-        if !self.weights.spreader.is_moved(id) {
+        if !self.image_distribution.distributor.is_moved(id) {
             return vec![];
         }
         let fetching = tasks.iter().filter(|t| t.state == TaskState::Fetching);
@@ -258,7 +260,7 @@
             live.is_some_and(|l| settings.is_large(l.record.spec.image_gb))
         });
         if large {
-            self.weights.spreader.ordered(id, self.now);
+            self.image_distribution.distributor.ordered(id, self.now);
         }
     }
 
@@ -267,8 +269,10 @@
     /// Changes the seats of our pools: guarded by the record, so that the sum stays within the bound
     /// whoever else adds to it, and by the pools' tokens.
     fn write_seats(&mut self, record: OriginRecord) {
-        let since = self.now.since(self.weights.seats_at);
-        if self.weights.seats_inflight || (since < SEATS_MS && self.weights.seats_at > Ms(0)) {
+        let since = self.now.since(self.image_distribution.seats_at);
+        if self.image_distribution.seats_inflight
+            || (since < SEATS_MS && self.image_distribution.seats_at > Ms(0))
+        {
             return;
         }
         let old = &self.mirror.origin.1;
@@ -285,9 +289,9 @@
             txn.guard(pool_key(pool), Version(token.0));
         }
         txn.put(ORIGIN_KEY, &record, None);
-        self.weights.given_back = gone.into_iter().map(|c| c.0).collect();
-        self.weights.seats_inflight = true;
-        self.weights.seats_at = self.now;
+        self.image_distribution.given_back = gone.into_iter().map(|c| c.0).collect();
+        self.image_distribution.seats_inflight = true;
+        self.image_distribution.seats_at = self.now;
         let request = StoreRequest::Txn(txn.clone());
         self.store(Lane::Claim, request, Pending::Origin { txn, record });
     }
@@ -304,16 +308,16 @@
                     self.mirror.origin = (version, record);
                 }
                 // Those whose seat it is need not wait for the next look.
-                self.weights.looked = Ms(0);
+                self.image_distribution.looked = Ms(0);
             }
             // Somebody else was first.
             _ => {
-                self.weights.seats_at = Ms(self.now.0.saturating_sub(SEATS_MS - 300));
+                self.image_distribution.seats_at = Ms(self.now.0.saturating_sub(SEATS_MS - 300));
                 self.want_sync = true;
             }
         }
-        self.weights.seats_inflight = false;
-        self.weights.given_back.clear();
+        self.image_distribution.seats_inflight = false;
+        self.image_distribution.given_back.clear();
     }
 
     /// Says which of our machines hold what is being spread, and notes those that hold the last
@@ -332,8 +336,10 @@
                 last.insert(only.clone());
             }
         }
-        self.weights.last = last;
-        if self.weights.holders_inflight || self.now.since(self.weights.holders_at) < HOLDERS_MS {
+        self.image_distribution.last = last;
+        if self.image_distribution.holders_inflight
+            || self.now.since(self.image_distribution.holders_at) < HOLDERS_MS
+        {
             return;
         }
         let known = self.mirror.weights.keys();
@@ -372,8 +378,8 @@
             } else {
                 continue;
             }
-            self.weights.holders_inflight = true;
-            self.weights.holders_at = self.now;
+            self.image_distribution.holders_inflight = true;
+            self.image_distribution.holders_at = self.now;
             self.store(Lane::Poll, StoreRequest::Txn(txn), Pending::Spread);
             return;
         }
@@ -381,7 +387,7 @@
 
     /// Whatever came of it, the next reading tells.
     pub(crate) fn on_spread(&mut self) {
-        self.weights.holders_inflight = false;
+        self.image_distribution.holders_inflight = false;
         self.want_sync = true;
     }
 }
--- a/crates/cleatfold-weights/src/spreader.rs
+++ b/crates/cleatfold-weights/src/distributor.rs
@@ -1,6 +1,6 @@
-//! One owner's part of all spreads: whose turn it is, from where, and what to change in the record
-//! of the origin. What it keeps is hints; a successor begins with none and goes on by the records
-//! and the first reports.
+//! One pool owner's part in the distribution of images: which machine may fetch now, from where, and what to
+//! change in the origin's record. All that is kept here is hints; a new owner begins without them and goes on
+//! by the records and the workers' first reports.
 
 use crate::{deal, order, OriginRecord, Settings, SpreadRecord, Want, COPIES, LINE};
 use cleatfold_wire::{ImageId, MachineId, Ms, PoolId, ZoneId};
@@ -64,6 +64,7 @@
     From(Vec<String>),
 }
 
+/// One machine's fetch from peers, the first of them preferred.
 #[derive(Clone, Debug)]
 struct Link {
     image: ImageId,
@@ -80,8 +81,9 @@
 /// Sources that a machine is told at most.
 const SOURCES: usize = 3;
 
+/// The peer fetches of the machines of our pools, and which machines may fetch now.
 #[derive(Debug, Default)]
-pub struct Spreader {
+pub struct ImageDistributor {
     /// By the machine that fetches: from whom.
     links: BTreeMap<MachineId, Link>,
     /// When each was last told to fetch.
@@ -106,7 +108,7 @@
     moving: bool,
 }
 
-impl Spreader {
+impl ImageDistributor {
     pub fn turn(&self, machine: &MachineId, image: &ImageId) -> Option<&Turn> {
         self.turns.get(&(machine.clone(), image.clone()))
     }
--- a/crates/cleatfold-weights/src/lib.rs
+++ b/crates/cleatfold-weights/src/lib.rs
@@ -1,17 +1,18 @@
-//! Weights: images that many machines want at once. Who fetches when, and from where.
+//! Image distribution: images that many machines want at once. Which machine fetches when, and from the origin
+//! or from which peer.
 //!
 //! Pure: no I/O and no clock. `docs/weights.md` argues.
 
 mod deal;
+mod distributor;
 mod origin;
 mod pieces;
 mod record;
 mod settings;
-mod spreader;
 
 pub use deal::{deal, order, Want, COPIES, LINE};
+pub use distributor::{ImageDistributor, Seen, Turn, View};
 pub use origin::{OriginRecord, Seat};
 pub use pieces::{digest, Fetch, Next, Pieces};
 pub use record::{Names, SpreadRecord};
 pub use settings::Settings;
-pub use spreader::{Seen, Spreader, Turn, View};
--- a/crates/cleatfold-weights/tests/deal.rs
+++ b/crates/cleatfold-weights/tests/deal.rs
@@ -180,7 +180,7 @@
     let pools = BTreeSet::from([pool("a")]);
     let spreads = BTreeMap::new();
     let mut origin = OriginRecord::default();
-    let mut spreader = Spreader::default();
+    let mut distributor = ImageDistributor::default();
     let mut began = BTreeSet::new();
     for round in 1..20u64 {
         let machines: BTreeMap<MachineId, Seen> = (0..10)
@@ -208,10 +208,10 @@
             gone: &|_| false,
             endpoints: &|_| None,
         };
-        let (record, come) = spreader.pass(&view);
+        let (record, come) = distributor.pass(&view);
         origin = record.unwrap_or(origin);
         for machine in come {
-            if !matches!(spreader.turn(&machine, &new), None | Some(Turn::Here)) {
+            if !matches!(distributor.turn(&machine, &new), None | Some(Turn::Here)) {
                 began.insert(machine);
             }
         }
@@ -230,10 +230,10 @@
     let w = want(1, "a", 1);
     let seat = Seat { pool: pool("a"), image: w.image.clone(), since_ms: 0, mb_per_s: 1250 };
     let origin = OriginRecord { seats: BTreeMap::from([(w.machine.clone(), seat)]) };
-    let mut spreader = Spreader::default();
+    let mut distributor = ImageDistributor::default();
     let mut pass = |now: u64, machine: Option<Seen>, gone: bool, ordered: bool| {
         if ordered {
-            spreader.ordered(&want(1, "a", 1).machine, Ms(now));
+            distributor.ordered(&want(1, "a", 1).machine, Ms(now));
         }
         let seen = machine.map(|m| (want(1, "a", 1).machine, m)).into_iter().collect();
         let view = View {
@@ -250,7 +250,7 @@
             gone: &|_| gone,
             endpoints: &|_| None,
         };
-        spreader.pass(&view).0.is_some()
+        distributor.pass(&view).0.is_some()
     };
     assert!(!pass(1000, None, false, false), "not heard of");
     let mut fetching = seen(1, 2000).1;
