Name: a seat at the images' origin is a slot

Seat becomes Slot and seats slots in cleatfold-weights and the control crate's weights.rs. The record keeps its spelling by its serde renames. Tests change in names only.

--- a/crates/cleatfold-control/src/state/image_distribution.rs
+++ b/crates/cleatfold-control/src/state/image_distribution.rs
@@ -9,9 +9,9 @@
 pub(crate) struct ImageDistribution {
     pub distributor: ImageDistributor,
     pub looked: Ms,
-    pub seats_at: Ms,
-    pub seats_inflight: bool,
-    /// Machines whose seat the change that is on its way gives back.
+    pub slots_at: Ms,
+    pub slots_inflight: bool,
+    /// Machines whose slot the change that is on its way gives back.
     pub given_back: BTreeSet<MachineId>,
     pub holders_at: Ms,
     pub holders_inflight: bool,
--- a/crates/cleatfold-control/src/weights.rs
+++ b/crates/cleatfold-control/src/weights.rs
@@ -12,9 +12,9 @@
 use cleatfold_wire::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Between two looks at all spreads, two changes of the seats, and two of who holds what.
+/// Between two looks at all spreads, two changes of the slots, and two of who holds what.
 const LOOK_MS: u64 = 250;
-const SEATS_MS: u64 = 1500;
+const SLOTS_MS: u64 = 1500;
 const HOLDERS_MS: u64 = 5000;
 /// An image that no more machines want has no record of its own.
 const HANDFUL: usize = 5;
@@ -54,7 +54,7 @@
         });
         self.image_distribution.distributor = distributor;
         if let Some(origin) = origin {
-            self.write_seats(origin);
+            self.write_slots(origin);
         }
         self.answer_held(&come);
     }
@@ -66,8 +66,8 @@
             Some(machine) => machine.expired,
             None => {
                 let known = self.cfg.list_lag_ms + self.cfg.lease_ms + self.cfg.given_up_ms();
-                let seat = self.mirror.origin.1.seats.get(id);
-                let owned = seat.and_then(|s| self.owned_since.get(&s.pool));
+                let slot = self.mirror.origin.1.slots.get(id);
+                let owned = slot.and_then(|s| self.owned_since.get(&s.pool));
                 self.fleet.is_deleted(id) || owned.is_some_and(|o| self.now.since(o.1) > known)
             }
         }
@@ -100,7 +100,7 @@
                     lane: spec.urgency as u8,
                     gang: spec.kind == Kind::Gang,
                     place: live.place(),
-                    mb_per_s: settings.seat(kind.map_or(1.0, |t| t.fetch_gb_per_s)),
+                    mb_per_s: settings.slot(kind.map_or(1.0, |t| t.fetch_gb_per_s)),
                     // Of others' machines nothing is known: they decide themselves.
                     hears: images.is_none_or(|i| i.is_some()),
                     stuck: images.is_some_and(Node::is_stuck),
@@ -142,9 +142,9 @@
                         fetching.insert(spec.image.clone());
                     }
                     Some(_) => {}
-                    // A job that has gone since: whatever it has a seat for.
+                    // A job that has gone since: whatever it has a slot for.
                     None => {
-                        fetching.extend(self.mirror.origin.1.seats.get(id).map(|s| s.image.clone()))
+                        fetching.extend(self.mirror.origin.1.slots.get(id).map(|s| s.image.clone()))
                     }
                 }
             }
@@ -216,16 +216,16 @@
         }
         match self.image_distribution.distributor.turn(id, &spec.image)? {
             // One that lists its images has just said that it is not: it came back with an empty cache
-            // since turns were last looked at, and would have fetched without a seat.
+            // since turns were last looked at, and would have fetched without a slot.
             Turn::Here => {
                 let lists = machine.report.as_ref().is_some_and(|r| r.images.is_some());
                 (!lists).then(Vec::new)
             }
             Turn::From(sources) => Some(sources.clone()),
-            // The seat as it stands, not as it stood when turns were last looked at.
+            // The slot as it stands, not as it stood when turns were last looked at.
             Turn::Origin => {
-                let seat = self.mirror.origin.1.seats.get(id)?;
-                let stands = seat.image == spec.image && seat.pool == machine.pool;
+                let slot = self.mirror.origin.1.slots.get(id)?;
+                let stands = slot.image == spec.image && slot.pool == machine.pool;
                 (stands && !self.image_distribution.given_back.contains(id)).then(Vec::new)
             }
         }
@@ -266,18 +266,18 @@
 
     // ---- the records ----
 
-    /// Changes the seats of our pools: guarded by the record, so that the sum stays within the bound
+    /// Changes the slots of our pools: guarded by the record, so that the sum stays within the bound
     /// whoever else adds to it, and by the pools' tokens.
-    fn write_seats(&mut self, record: OriginRecord) {
-        let since = self.now.since(self.image_distribution.seats_at);
-        if self.image_distribution.seats_inflight
-            || (since < SEATS_MS && self.image_distribution.seats_at > Ms(0))
+    fn write_slots(&mut self, record: OriginRecord) {
+        let since = self.now.since(self.image_distribution.slots_at);
+        if self.image_distribution.slots_inflight
+            || (since < SLOTS_MS && self.image_distribution.slots_at > Ms(0))
         {
             return;
         }
         let old = &self.mirror.origin.1;
         let changed = |from: &OriginRecord, to: &OriginRecord| -> Vec<(MachineId, PoolId)> {
-            let gone = from.seats.iter().filter(|(m, s)| to.seats.get(*m) != Some(*s));
+            let gone = from.slots.iter().filter(|(m, s)| to.slots.get(*m) != Some(*s));
             gone.map(|(m, s)| (m.clone(), s.pool.clone())).collect()
         };
         let (gone, new) = (changed(old, &record), changed(&record, old));
@@ -290,8 +290,8 @@
         }
         txn.put(ORIGIN_KEY, &record, None);
         self.image_distribution.given_back = gone.into_iter().map(|c| c.0).collect();
-        self.image_distribution.seats_inflight = true;
-        self.image_distribution.seats_at = self.now;
+        self.image_distribution.slots_inflight = true;
+        self.image_distribution.slots_at = self.now;
         let request = StoreRequest::Txn(txn.clone());
         self.store(Lane::Claim, request, Pending::Origin { txn, record });
     }
@@ -307,16 +307,16 @@
                 if self.mirror.origin.0 < version {
                     self.mirror.origin = (version, record);
                 }
-                // Those whose seat it is need not wait for the next look.
+                // Those whose slot it is need not wait for the next look.
                 self.image_distribution.looked = Ms(0);
             }
             // Somebody else was first.
             _ => {
-                self.image_distribution.seats_at = Ms(self.now.0.saturating_sub(SEATS_MS - 300));
+                self.image_distribution.slots_at = Ms(self.now.0.saturating_sub(SLOTS_MS - 300));
                 self.want_sync = true;
             }
         }
-        self.image_distribution.seats_inflight = false;
+        self.image_distribution.slots_inflight = false;
         self.image_distribution.given_back.clear();
     }
 
--- a/crates/cleatfold-control/tests/weights.rs
+++ b/crates/cleatfold-control/tests/weights.rs
@@ -103,7 +103,7 @@
             }
         }
         run_until(&mut world, 300, |w| w.unfinished().is_empty() && w.started >= 24);
-        let seats = |w: &World| !w.origin_record().seats.is_empty();
+        let seats = |w: &World| !w.origin_record().slots.is_empty();
         run_until(&mut world, 60, |w| !seats(w));
         let most = 24.0 * GB;
         assert!(origin_gb(&world) <= most, "seed {seed}: {} GB", origin_gb(&world));
@@ -156,7 +156,7 @@
     (0..NODES).for_each(|n| world.at(0, Happens::Crash(n)));
     let done = |w: &World| w.running.keys().filter(|t| t.job == keep).count() == 8;
     run_until(&mut world, 120, done);
-    run_until(&mut world, 120, |w| w.origin_record().seats.is_empty() && having(w, "m1") >= 8);
+    run_until(&mut world, 120, |w| w.origin_record().slots.is_empty() && having(w, "m1") >= 8);
     // Those that fetched for the cancelled one gave up what they had begun.
     assert!(having(&world, "m1") <= 12, "{}", having(&world, "m1"));
 }
--- a/crates/cleatfold-lab/src/world/weights.rs
+++ b/crates/cleatfold-lab/src/world/weights.rs
@@ -79,7 +79,7 @@
             self.broken.push(format!("{:?} seats {} of {bound}", self.now, record.used()));
         }
         for id in net.at_origin(self.now) {
-            if !record.seats.contains_key(id) {
+            if !record.slots.contains_key(id) {
                 self.broken.push(format!("{:?} {id} fetches without a seat", self.now));
             }
         }
--- a/crates/cleatfold-weights/src/deal.rs
+++ b/crates/cleatfold-weights/src/deal.rs
@@ -1,6 +1,6 @@
-//! Who is given the free seats at the origin.
+//! Who is given the free slots at the origin.
 
-use crate::{OriginRecord, Seat, Settings};
+use crate::{OriginRecord, Settings, Slot};
 use cleatfold_wire::{ImageId, MachineId, PoolId, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -37,7 +37,7 @@
     (want.lane, !want.stuck, !want.gang, want.place, &want.machine)
 }
 
-/// Gives out what room there is. `copies` says how many copies a zone has besides the seats
+/// Gives out what room there is. `copies` says how many copies a zone has besides the slots
 /// in `origin`, and how many machines stand in line behind them.
 pub fn deal(
     settings: &Settings,
@@ -46,11 +46,11 @@
     copies: impl Fn(&ImageId, &ZoneId) -> (usize, usize),
     value_bytes: usize,
     wall_ms: u64,
-) -> BTreeMap<MachineId, Seat> {
+) -> BTreeMap<MachineId, Slot> {
     let mut given = BTreeMap::new();
     let mut origin = origin.clone();
     let mut left: Vec<&Want> = wants.iter().collect();
-    left.retain(|w| !origin.seats.contains_key(&w.machine));
+    left.retain(|w| !origin.slots.contains_key(&w.machine));
     left.sort_by_key(|w| order(w));
     // A machine has one turn at a time.
     let mut seen = BTreeSet::new();
@@ -59,9 +59,9 @@
     for want in left.iter().filter(|w| w.hears) {
         let zone = (&want.image, &want.pool.zone);
         zones.entry(zone).or_insert_with(|| {
-            let seats = origin.in_zone(zone.0, zone.1).count();
+            let slots = origin.in_zone(zone.0, zone.1).count();
             let (there, in_line) = copies(zone.0, zone.1);
-            (there + seats, in_line)
+            (there + slots, in_line)
         });
         zones.entry(zone).and_modify(|z| z.1 += 1);
     }
@@ -88,14 +88,14 @@
         let Some((_, i)) = best else { break };
         let want = left.remove(i);
         zones.entry((&want.image, &want.pool.zone)).and_modify(|z| z.0 += 1);
-        let seat = Seat {
+        let slot = Slot {
             pool: want.pool.clone(),
             image: want.image.clone(),
             since_ms: wall_ms,
             mb_per_s: want.mb_per_s,
         };
-        origin.seats.insert(want.machine.clone(), seat.clone());
-        given.insert(want.machine.clone(), seat);
+        origin.slots.insert(want.machine.clone(), slot.clone());
+        given.insert(want.machine.clone(), slot);
     }
     given
 }
--- a/crates/cleatfold-weights/src/distributor.rs
+++ b/crates/cleatfold-weights/src/distributor.rs
@@ -58,7 +58,7 @@
 pub enum Turn {
     /// The image is there.
     Here,
-    /// Its seat at the origin is durable.
+    /// Its slot at the origin is durable.
     Origin,
     /// From these, in turn.
     From(Vec<String>),
@@ -71,7 +71,7 @@
     from: Vec<MachineId>,
 }
 
-/// Free seats that those before us in the order don't take for so long are taken by others: their
+/// Free slots that those before us in the order don't take for so long are taken by others: their
 /// owner may be gone, or they need none.
 const PASS_MS: u64 = 3000;
 /// A source that left its sinks stuck is nobody's first for so long.
@@ -91,7 +91,7 @@
     doubted: BTreeMap<MachineId, Ms>,
     /// Told other sources than they have.
     moved: BTreeSet<MachineId>,
-    /// Since when the record's seats are what they are.
+    /// Since when the record's slots are what they are.
     settled: Option<(Ms, OriginRecord)>,
     /// By machine, for the images that its claims wait for.
     turns: BTreeMap<(MachineId, ImageId), Turn>,
@@ -141,7 +141,7 @@
         self.learn_links(view);
         let begun = |m: &MachineId| {
             self.links.contains_key(m)
-                || view.origin.seats.contains_key(m)
+                || view.origin.slots.contains_key(m)
                 || view.seen.get(m).is_some_and(|s| !s.fetching.is_empty())
         };
         let next = next_images(view, &wants, begun);
@@ -157,10 +157,10 @@
         (self.origin_as_it_should_be(view, &next, &over), come)
     }
 
-    /// Seats of our pools whose fetch is proven over, or never began.
+    /// Slots of our pools whose fetch is proven over, or never began.
     fn over(&self, view: &View) -> BTreeSet<MachineId> {
-        let ours = view.origin.seats.iter().filter(|(_, s)| view.pools.contains(&s.pool));
-        let over = ours.filter(|(machine, seat)| {
+        let ours = view.origin.slots.iter().filter(|(_, s)| view.pools.contains(&s.pool));
+        let over = ours.filter(|(machine, slot)| {
             if (view.gone)(machine) {
                 return true;
             }
@@ -168,11 +168,11 @@
             let Some(seen) = view.seen.get(*machine) else { return false };
             let told = self.ordered.get(*machine).is_some_and(|at| *at >= seen.at);
             let wanted = || {
-                let same = |w: &&Want| w.machine == **machine && w.image == seat.image;
+                let same = |w: &&Want| w.machine == **machine && w.image == slot.image;
                 view.wants.iter().any(|w| same(&w))
             };
-            seen.has(&seat.image)
-                || !(told || seen.fetching.contains(&seat.image) || (!seen.leaving && wanted()))
+            seen.has(&slot.image)
+                || !(told || seen.fetching.contains(&slot.image) || (!seen.leaving && wanted()))
         });
         over.map(|(machine, _)| machine.clone()).collect()
     }
@@ -191,9 +191,9 @@
             }
             let waits =
                 seen.fetching.contains(&link.image) || waiting.contains(&(sink, &link.image));
-            let seat = view.origin.seats.contains_key(sink);
+            let slot = view.origin.slots.contains_key(sink);
             let source = link.from.first().is_some_and(|s| !(view.gone)(s));
-            (waits || told) && source && !seat && !seen.has(&link.image)
+            (waits || told) && source && !slot && !seen.has(&link.image)
         });
         for machine in doubted {
             self.doubted.insert(machine, view.now);
@@ -223,13 +223,13 @@
                 link.from.insert(0, source.clone());
             }
         }
-        // A seat for a machine that is stuck: it has to be told that it may go to the origin.
-        let seats = &view.origin.seats;
-        let stuck = view.seen.iter().filter(|(m, s)| s.stuck && seats.contains_key(*m));
+        // A slot for a machine that is stuck: it has to be told that it may go to the origin.
+        let slots = &view.origin.slots;
+        let stuck = view.seen.iter().filter(|(m, s)| s.stuck && slots.contains_key(*m));
         let stuck = stuck.filter(|(m, _)| !self.ordered.contains_key(*m));
         self.moved.extend(stuck.map(|(m, _)| m.clone()));
         let links = &self.links;
-        self.moved.retain(|m| links.contains_key(m) || seats.contains_key(m));
+        self.moved.retain(|m| links.contains_key(m) || slots.contains_key(m));
     }
 
     /// Of two machines behind one source the one with less goes behind a machine that has more than
@@ -284,7 +284,7 @@
             let Some(seen) = view.seen.get(sink) else { continue };
             let busy = self.links.contains_key(sink)
                 || seen.leaving
-                || view.origin.seats.contains_key(sink)
+                || view.origin.slots.contains_key(sink)
                 || seen.fetching.iter().any(|i| *i != want.image);
             // Fetching already, by a predecessor's word: it goes on unless it is stuck.
             let goes_on = seen.fetching.contains(&want.image) && !seen.stuck;
@@ -347,9 +347,9 @@
                 continue;
             }
             let part = seen.images.get(image).copied().unwrap_or(0.0);
-            let seat = view.origin.seats.get(id).is_some_and(|s| s.image == *image);
+            let slot = view.origin.slots.get(id).is_some_and(|s| s.image == *image);
             let link = self.links.get(id).is_some_and(|l| l.image == *image);
-            let moving = !seen.stuck && (seat || link || seen.fetching.contains(image));
+            let moving = !seen.stuck && (slot || link || seen.fetching.contains(image));
             if part >= 1.0 || moving {
                 let sinks = behind(id).max(seen.serves);
                 peers.push(Peer { id: id.clone(), part, sinks, moving });
@@ -379,12 +379,12 @@
         for want in wants.iter().filter(|w| view.pools.contains(&w.pool)) {
             let Some(seen) = view.seen.get(&want.machine) else { continue };
             let key = (want.machine.clone(), want.image.clone());
-            let seat = view.origin.seats.get(&want.machine);
-            let seat = seat.filter(|s| s.image == want.image && !over.contains(&want.machine));
+            let slot = view.origin.slots.get(&want.machine);
+            let slot = slot.filter(|s| s.image == want.image && !over.contains(&want.machine));
             let link = self.links.get(&want.machine).filter(|l| l.image == want.image);
             let turn = if seen.has(&want.image) {
                 Turn::Here
-            } else if seat.is_some() {
+            } else if slot.is_some() {
                 Turn::Origin
             } else if let Some(link) = link {
                 let at = |m: &MachineId| {
@@ -399,7 +399,7 @@
             } else {
                 // Also one that fetches by a predecessor's word: another task of its image waits until that
                 // is there. (Told to start without sources, a machine that had just begun a new session
-                // went to the origin without a seat.)
+                // went to the origin without a slot.)
                 continue;
             };
             turns.insert(key, turn);
@@ -415,7 +415,7 @@
         over: &BTreeSet<MachineId>,
     ) -> Option<OriginRecord> {
         let mut new = view.origin.clone();
-        new.seats.retain(|machine, _| !over.contains(machine));
+        new.slots.retain(|machine, _| !over.contains(machine));
         let since = match &self.settled {
             Some((since, record)) if record == view.origin => *since,
             _ => {
@@ -438,7 +438,7 @@
         };
         let wall = view.wall_ms;
         let dealt = deal(view.settings, &new, &wants, copies, view.value_bytes, wall);
-        new.seats.extend(dealt.into_iter().filter(|(_, s)| view.pools.contains(&s.pool)));
+        new.slots.extend(dealt.into_iter().filter(|(_, s)| view.pools.contains(&s.pool)));
         (new != *view.origin).then_some(new)
     }
 
@@ -452,8 +452,8 @@
     /// and can be had.
     fn another_copy(&self, view: &View, want: &Want) -> bool {
         let (image, zone) = (&want.image, &want.pool.zone);
-        let seats = view.origin.in_zone(image, zone).count();
-        let copies = self.copies(view, image, zone) + seats;
+        let slots = view.origin.in_zone(image, zone).count();
+        let copies = self.copies(view, image, zone) + slots;
         copies < COPIES
             && self.in_line(view, image, zone) >= LINE * copies
             && view.origin.has_room(view.settings, want.mb_per_s, view.value_bytes)
--- a/crates/cleatfold-weights/src/lib.rs
+++ b/crates/cleatfold-weights/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use deal::{deal, order, Want, COPIES, LINE};
 pub use distributor::{ImageDistributor, Seen, Turn, View};
-pub use origin::{OriginRecord, Seat};
+pub use origin::{OriginRecord, Slot};
 pub use pieces::{digest, Fetch, Next, Pieces};
 pub use record::{Names, SpreadRecord};
 pub use settings::Settings;
--- a/crates/cleatfold-weights/src/origin.rs
+++ b/crates/cleatfold-weights/src/origin.rs
@@ -1,7 +1,7 @@
 //! Who fetches from the origin: one record for all images, since all share one bound.
 //!
-//! A seat is written here before its machine is told to fetch. Every writer adds to the record that
-//! it has read, guarded by its version, so the sum of the seats never exceeds the bound, whoever
+//! A slot is written here before its machine is told to fetch. Every writer adds to the record that
+//! it has read, guarded by its version, so the sum of the slots never exceeds the bound, whoever
 //! fails, and whoever takes a pool over reads which of its machines are fetching.
 
 use crate::Settings;
@@ -11,7 +11,7 @@
 
 /// One machine's fetch from the origin.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Seat {
+pub struct Slot {
     #[serde(rename = "p")]
     pub pool: PoolId,
     #[serde(rename = "i")]
@@ -28,22 +28,22 @@
 pub struct OriginRecord {
     /// By machine: it fetches one image at a time.
     #[serde(rename = "f", default)]
-    pub seats: BTreeMap<MachineId, Seat>,
+    pub slots: BTreeMap<MachineId, Slot>,
 }
 
 impl OriginRecord {
-    /// Bytes that a seat takes at most, with names of the usual length.
-    const SEAT_BYTES: usize = 160;
+    /// Bytes that a slot takes at most, with names of the usual length.
+    const SLOT_BYTES: usize = 160;
 
     /// In MB per second.
     pub fn used(&self) -> u32 {
-        self.seats.values().map(|s| s.mb_per_s).sum()
+        self.slots.values().map(|s| s.mb_per_s).sum()
     }
 
-    /// Whether another seat of this size is within the bound, and the record within its limit.
+    /// Whether another slot of this size is within the bound, and the record within its limit.
     pub fn has_room(&self, settings: &Settings, mb_per_s: u32, value_bytes: usize) -> bool {
         self.used() + mb_per_s <= settings.bound()
-            && (self.seats.len() + 1) * Self::SEAT_BYTES <= value_bytes
+            && (self.slots.len() + 1) * Self::SLOT_BYTES <= value_bytes
     }
 
     /// Machines of a zone that fetch an image.
@@ -52,7 +52,7 @@
         image: &'a ImageId,
         zone: &'a ZoneId,
     ) -> impl Iterator<Item = &'a MachineId> + 'a {
-        let here = move |s: &Seat| s.image == *image && s.pool.zone == *zone;
-        self.seats.iter().filter(move |(_, s)| here(s)).map(|(m, _)| m)
+        let here = move |s: &Slot| s.image == *image && s.pool.zone == *zone;
+        self.slots.iter().filter(move |(_, s)| here(s)).map(|(m, _)| m)
     }
 }
--- a/crates/cleatfold-weights/src/settings.rs
+++ b/crates/cleatfold-weights/src/settings.rs
@@ -55,8 +55,8 @@
     }
 
     /// What the fetch of a machine of this rate takes of it. A machine that could take more than
-    /// there is takes all of it: there is always at least one seat.
-    pub fn seat(&self, fetch_gb_per_s: f64) -> u32 {
+    /// there is takes all of it: there is always at least one slot.
+    pub fn slot(&self, fetch_gb_per_s: f64) -> u32 {
         ((fetch_gb_per_s * 1000.0).ceil() as u32).clamp(1, self.bound())
     }
 }
--- a/crates/cleatfold-weights/tests/deal.rs
+++ b/crates/cleatfold-weights/tests/deal.rs
@@ -45,8 +45,8 @@
         for n in 0..taken {
             let w = want(100 + n, "a", 0);
             if record.has_room(&settings, w.mb_per_s, 16_384) {
-                let seat = Seat { pool: w.pool, image: w.image, since_ms: 0, mb_per_s: w.mb_per_s };
-                record.seats.insert(w.machine, seat);
+                let slot = Slot { pool: w.pool, image: w.image, since_ms: 0, mb_per_s: w.mb_per_s };
+                record.slots.insert(w.machine, slot);
             }
         }
         // A machine is in one zone, and hears of sources or does not.
@@ -55,7 +55,7 @@
             .into_iter()
             .filter(|w| known.insert(w.0))
             .map(|(n, zone, lane, rate, hears, gang)| Want {
-                mb_per_s: settings.seat(f64::from(rate) / 1000.0),
+                mb_per_s: settings.slot(f64::from(rate) / 1000.0),
                 hears,
                 gang,
                 ..want(n, ["a", "b", "c"][zone], lane)
@@ -63,9 +63,9 @@
             .collect();
         let given = deal(&settings, &record, &wants, |_, _| (0, 0), 16_384, 7);
         let mut after = record.clone();
-        after.seats.extend(given.clone());
+        after.slots.extend(given.clone());
         prop_assert!(after.used() <= settings.bound());
-        prop_assert_eq!(after.seats.len(), record.seats.len() + given.len());
+        prop_assert_eq!(after.slots.len(), record.slots.len() + given.len());
         // The plain model for workers of the protocol: whoever waits had no room left.
         let mut first = BTreeSet::new();
         let mut sorted: Vec<&Want> = wants.iter().collect();
@@ -116,8 +116,8 @@
     let settings = settings(100_000.0, false);
     let wants: Vec<Want> = (0..2000).map(|n| Want { mb_per_s: 1, ..want(n, "a", 2) }).collect();
     let given = deal(&settings, &OriginRecord::default(), &wants, |_, _| (0, 0), 16_384, u64::MAX);
-    let record = OriginRecord { seats: given };
-    assert!(record.seats.len() > 50);
+    let record = OriginRecord { slots: given };
+    assert!(record.slots.len() > 50);
     assert!(serde_json::to_vec(&record).unwrap().len() <= 16_384);
     // Fifteen hundred machines of a region are some kilobytes; names that can't be packed are cut.
     let packed: BTreeSet<MachineId> =
@@ -228,8 +228,8 @@
     let pools = BTreeSet::from([pool("a")]);
     let spreads = BTreeMap::new();
     let w = want(1, "a", 1);
-    let seat = Seat { pool: pool("a"), image: w.image.clone(), since_ms: 0, mb_per_s: 1250 };
-    let origin = OriginRecord { seats: BTreeMap::from([(w.machine.clone(), seat)]) };
+    let slot = Slot { pool: pool("a"), image: w.image.clone(), since_ms: 0, mb_per_s: 1250 };
+    let origin = OriginRecord { slots: BTreeMap::from([(w.machine.clone(), slot)]) };
     let mut distributor = ImageDistributor::default();
     let mut pass = |now: u64, machine: Option<Seen>, gone: bool, ordered: bool| {
         if ordered {
