Name: the keeper of a workspace is its owner

cleatfold_workspace::keeper becomes owner, keep_keepers keep_ownership, and the comments of workspaces and losses say owner. Tests change in names only (one file renamed).

--- a/crates/cleatfold-control/src/losses.rs
+++ b/crates/cleatfold-control/src/losses.rs
@@ -2,8 +2,8 @@
 //!
 //! A loss is recorded in the job's own record by the very change that ends the claim, so it costs
 //! none of its own and outlives every controller. For a team to hear of its losses without
-//! asking for each job, its workspace's keeper copies them into the team's log, many in one record,
-//! when there are changes to spare: told late rather than never, and at least once (a new keeper reads
+//! asking for each job, its workspace's owner copies them into the team's log, many in one record,
+//! when there are changes to spare: told late rather than never, and at least once (a new owner reads
 //! what is there and adds what is missing).
 
 use crate::effects::*;
@@ -15,13 +15,13 @@
 use cleatfold_wire::*;
 use std::collections::BTreeMap;
 
-/// A keeper looks for losses that are not in the log yet so often.
+/// An owner looks for losses that are not in the log yet so often.
 const LOOK_MS: u64 = 5000;
 /// Losses that have waited so long go even where changes are short.
 const WAIT_MS: u64 = 60_000;
 /// Of one record of the log; some 100 bytes each.
 const GROUP: usize = 100;
-/// A new keeper reads back so many revisions of the logs, and of jobs that ended before it looked; the
+/// A new owner reads back so many revisions of the logs, and of jobs that ended before it looked; the
 /// service keeps 10,000.
 const BACK: u64 = 9000;
 const BACK_ENDED: u64 = 3000;
--- a/crates/cleatfold-control/src/records.rs
+++ b/crates/cleatfold-control/src/records.rs
@@ -68,7 +68,7 @@
 pub fn loss_head_key(team: &TeamId) -> String {
     format!("{LOSS_HEADS}{team}")
 }
-/// Who keeps a team's workspace. Its version is the token of all the keeper writes.
+/// Who owns a team's workspace. Its version is the token of all the owner writes.
 pub fn workspace_key(team: &TeamId) -> String {
     format!("{WORKSPACES}{team}")
 }
--- a/crates/cleatfold-control/src/workspaces.rs
+++ b/crates/cleatfold-control/src/workspaces.rs
@@ -1,6 +1,6 @@
-//! Each team's workspace: who keeps it, and its history. `cleatfold_workspace` decides.
+//! Each team's workspace: who owns it, and its history. `cleatfold_workspace` decides.
 //!
-//! Everything a keeper writes is guarded by the version of the workspace's key, so a keeper that was
+//! Everything an owner writes is guarded by the version of the workspace's key, so an owner that was
 //! replaced writes nothing any more, however late. Which jobs have ended is read from the archive, where
 //! each is written once: a history is a copy of it in the order of its revisions, and whoever keeps the
 //! team next goes on from the revision that the head names.
@@ -11,7 +11,7 @@
 use crate::state::workspaces::{read_group, Kept, Listing, Write};
 use cleatfold_wire::store::{Events, Item, Txn};
 use cleatfold_wire::*;
-use cleatfold_workspace::{keeper, End, GROUP};
+use cleatfold_workspace::{owner, End, GROUP};
 use std::collections::BTreeMap;
 
 /// How often it is looked whether a workspace stands empty, and whether a history is to be written.
@@ -45,7 +45,7 @@
             return;
         }
         self.workspaces.looked = self.now;
-        self.keep_keepers();
+        self.keep_ownership();
         self.note_kept();
         if self.now.since(self.workspaces.wrote) >= HISTORY_MS {
             self.workspaces.wrote = self.now;
@@ -68,12 +68,12 @@
 
     // ---- who keeps what ----
 
-    fn keep_keepers(&mut self) {
+    fn keep_ownership(&mut self) {
         let (now, me) = (self.now, self.cfg.me.clone());
         let teams: Vec<TeamId> = self.cfg.teams.iter().map(|t| t.name.clone()).collect();
         let mut vacancies = std::mem::take(&mut self.workspaces.vacancies);
         let mirror = &self.mirror;
-        // As pools are: a keeper is whoever the record names, as long as that life of it has its key.
+        // As pools are: an owner is whoever the record names, as long as that life of it has its key.
         // What cannot be read is nobody's to write over.
         let held = |team: &TeamId| {
             let holder = mirror.workspaces.get(team).map(|w| &w.1);
@@ -86,7 +86,7 @@
         let incarnation = self.incarnation.filter(|i| known == Some(*i) && !unsure);
         if let Some(incarnation) = incarnation.filter(|_| self.in_contact() && self.pace.open()) {
             self.workspaces.unsure = None;
-            let rank = |team: &TeamId, live: &_| keeper::rank(team, &me, live);
+            let rank = |team: &TeamId, live: &_| owner::rank(team, &me, live);
             let former = |team: &TeamId| {
                 let holder = mirror.workspaces.get(team).map(|w| &w.1);
                 holder.is_some_and(|h| h.owner == me && h.incarnation != incarnation)
@@ -101,7 +101,7 @@
             let kept = &self.workspaces.kept;
             let idle = kept.iter().filter(|(_, k)| !k.writing).map(|(t, _)| t);
             if let Some(team) = vacancies.give(now, idle, rank) {
-                let first = keeper::first(&team, vacancies.live().iter()).cloned();
+                let first = owner::first(&team, vacancies.live().iter()).cloned();
                 let first = first.filter(|n| *n != me);
                 let holder = first.and_then(|owner| {
                     let incarnation = self.mirror.nodes.get(&owner)?.0;
--- a/crates/cleatfold-control/tests/workspaces.rs
+++ b/crates/cleatfold-control/tests/workspaces.rs
@@ -405,7 +405,7 @@
     let first = |team: &str, world: &World| {
         let nodes: Vec<NodeId> =
             (0..NODES).filter(|i| world.nodes[*i].is_some()).map(node_id).collect();
-        cleatfold_workspace::keeper::first(&TeamId::new(team), nodes.iter()).cloned()
+        cleatfold_workspace::owner::first(&TeamId::new(team), nodes.iter()).cloned()
     };
     for round in 0..6 {
         let team = TEAMS[round % 2];
--- a/crates/cleatfold-workspace/src/lib.rs
+++ b/crates/cleatfold-workspace/src/lib.rs
@@ -1,11 +1,11 @@
-//! Workspaces: each team's jobs, queue and history, kept by one controller at a time.
+//! Workspaces: each team's jobs, queue and history, owned by one controller at a time.
 //!
-//! A workspace's keeper is named by a key of the state service; the key's version is the token that
-//! guards everything the keeper writes. Pure: no I/O and no clock. `docs/workspaces.md` argues.
+//! A workspace's owner is named by a key of the state service; the key's version is the token that
+//! guards everything the owner writes. Pure: no I/O and no clock. `docs/workspaces.md` argues.
 
 mod entry;
 mod history;
-pub mod keeper;
+pub mod owner;
 pub mod page;
 mod tail;
 mod turns;
--- a/crates/cleatfold-workspace/src/keeper.rs
+++ b/crates/cleatfold-workspace/src/owner.rs
@@ -1,4 +1,4 @@
-//! Which controller should keep a team's workspace.
+//! Which controller should own a team's workspace.
 
 use cleatfold_wire::{NodeId, TeamId};
 use std::collections::BTreeSet;
--- a/crates/cleatfold-workspace/tests/keeper.rs
+++ b/crates/cleatfold-workspace/tests/owner.rs
@@ -1,7 +1,7 @@
 //! Who keeps which team.
 
 use cleatfold_wire::{NodeId, TeamId};
-use cleatfold_workspace::keeper::{first, rank};
+use cleatfold_workspace::owner::{first, rank};
 use cleatfold_workspace::page::by_place;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,17 +18,17 @@
     let mut counts: BTreeMap<&NodeId, usize> = BTreeMap::new();
     let mut heirs = BTreeSet::new();
     for team in &teams {
-        let keeper = first(team, all.iter()).unwrap();
-        *counts.entry(keeper).or_default() += 1;
-        assert_eq!(rank(team, keeper, &all), 0);
+        let owner = first(team, all.iter()).unwrap();
+        *counts.entry(owner).or_default() += 1;
+        assert_eq!(rank(team, owner, &all), 0);
         let ranks: BTreeSet<usize> = all.iter().map(|n| rank(team, n, &all)).collect();
         assert_eq!(ranks.len(), all.len(), "an order");
         let next = first(team, rest.iter()).unwrap();
-        if *keeper == gone {
+        if *owner == gone {
             assert_eq!(rank(team, next, &all), 1);
             heirs.insert(next);
         } else {
-            assert_eq!(keeper, next, "stays where it was");
+            assert_eq!(owner, next, "stays where it was");
         }
     }
     assert_eq!(heirs.len(), 4);
