Name: blame is fault attribution

The control crate's module blame is fault_attribution, the package's Word is Evidence; two thresholds and the public items say what they are. The package keeps its name, since others import it. Tests change in names only.

--- a/crates/cleatfold-blame/src/job.rs
+++ b/crates/cleatfold-blame/src/job.rs
@@ -1,4 +1,4 @@
-//! What speaks against a job.
+//! Jobs at fault: what their failed starts say of them, and when they are tried again.
 
 use cleatfold_wire::{Attempt, MachineId, TaskIx};
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,8 +13,8 @@
     pub at_ms: u64,
 }
 
-/// A job that failed on so many machines and did nothing anywhere is tried one task at a time.
-const MACHINES: usize = 2;
+/// A job that failed on so many machines and has completed nothing anywhere is tried one task at a time.
+const SUSPECT_MACHINES: usize = 2;
 const FIRST_PAUSE_MS: u64 = 4_000;
 const MOST_PAUSE_MS: u64 = 300_000;
 
@@ -26,6 +26,7 @@
     (FIRST_PAUSE_MS << doublings).min(MOST_PAUSE_MS)
 }
 
+/// Whether a job is held to be at fault.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Standing {
     /// As good as any. Some of its tasks may have failed and pause, each by itself.
@@ -63,7 +64,7 @@
         known.1 = known.1.max(failure.at_ms);
     }
     let until = |(attempt, at_ms): (Attempt, u64)| at_ms.saturating_add(pause_ms(attempt));
-    if done == 0 && machines.len() >= MACHINES {
+    if done == 0 && machines.len() >= SUSPECT_MACHINES {
         // By the task that was tried most often, from the last failure of all: the first wave of
         // a broken array goes on failing while its first task already pauses.
         let most = tasks.values().map(|t| t.0).max().unwrap_or_default();
--- a/crates/cleatfold-blame/src/lib.rs
+++ b/crates/cleatfold-blame/src/lib.rs
@@ -1,4 +1,4 @@
-//! Blame: a task has failed. A faulty machine fails whatever runs on it; a job that was submitted
+//! Fault attribution: a task has failed. A faulty machine fails whatever runs on it; a job that was submitted
 //! with a mistake fails wherever it runs. What is known of both sides decides which it was: when
 //! and how widely the job is tried again, and whether the machine is returned.
 //!
@@ -11,4 +11,4 @@
 mod machine;
 
 pub use job::{pause_ms, standing, Failure, Standing};
-pub use machine::{Suspicion, Word};
+pub use machine::{Evidence, Suspicion};
--- a/crates/cleatfold-blame/src/machine.rs
+++ b/crates/cleatfold-blame/src/machine.rs
@@ -1,14 +1,14 @@
-//! What speaks against a machine.
+//! Machines at fault: what the failures of jobs on them say.
 
 use cleatfold_wire::{JobId, TaskIx};
 use std::collections::BTreeMap;
 
-/// Jobs whose failure speaks against a machine that is faulty.
-const JOBS: usize = 2;
+/// So many jobs that work elsewhere and fail on a machine show that it is faulty.
+const FAULTY_JOBS: usize = 2;
 
 /// What is known by now of a job that failed on a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
+pub enum Evidence {
     /// Nothing yet: it has done nothing anywhere, and has failed nowhere else.
     Open,
     /// It works elsewhere, and this task of it has failed nowhere else: the machine's fault.
@@ -24,6 +24,7 @@
 }
 
 impl Suspicion {
+    /// A task of the job has failed on this machine.
     pub fn failed(&mut self, job: JobId, task: TaskIx) {
         self.failed.insert(job, task);
     }
@@ -33,6 +34,7 @@
         self.failed.clear();
     }
 
+    /// No job speaks against the machine.
     pub fn is_empty(&self) -> bool {
         self.failed.is_empty()
     }
@@ -45,13 +47,13 @@
     /// Whether the machine is at fault, by what is known of the jobs now. (Three jobs of any kind
     /// were once enough: one in twenty-five was submitted with a mistake, and good machines
     /// were returned by the dozen.)
-    pub fn is_faulty(&mut self, word: impl Fn(&JobId, TaskIx) -> Word) -> bool {
+    pub fn is_faulty(&mut self, evidence: impl Fn(&JobId, TaskIx) -> Evidence) -> bool {
         let mut against = 0;
         self.failed.retain(|job, task| {
-            let word = word(job, *task);
-            against += usize::from(word == Word::WorksElsewhere);
-            word != Word::NoEvidence
+            let evidence = evidence(job, *task);
+            against += usize::from(evidence == Evidence::WorksElsewhere);
+            evidence != Evidence::NoEvidence
         });
-        against >= JOBS
+        against >= FAULTY_JOBS
     }
 }
--- a/crates/cleatfold-blame/tests/blame.rs
+++ b/crates/cleatfold-blame/tests/blame.rs
@@ -1,6 +1,6 @@
 //! Blame as properties, against worlds in which it is known who is at fault.
 
-use cleatfold_blame::{pause_ms, standing, Failure, Standing, Suspicion, Word};
+use cleatfold_blame::{pause_ms, standing, Evidence, Failure, Standing, Suspicion};
 use cleatfold_wire::{Attempt, JobId, MachineId, TaskIx};
 use proptest::prelude::*;
 
@@ -86,9 +86,9 @@
             let word = |job: &JobId, _: TaskIx| {
                 let n: usize = job.as_str()[4..].parse().unwrap();
                 match (worked[n], failed_on[n].len()) {
-                    (true, 1) => Word::WorksElsewhere,
-                    (false, 1) => Word::Open,
-                    _ => Word::NoEvidence,
+                    (true, 1) => Evidence::WorksElsewhere,
+                    (false, 1) => Evidence::Open,
+                    _ => Evidence::NoEvidence,
                 }
             };
             let found: Vec<bool> = machines.iter_mut().map(|m| m.is_faulty(word)).collect();
--- a/crates/cleatfold-control/src/blame.rs
+++ b/crates/cleatfold-control/src/fault_attribution.rs
@@ -3,7 +3,7 @@
 use crate::jobs::Local;
 use crate::mirror::Live;
 use crate::node::Node;
-use cleatfold_blame::{pause_ms, standing, Failure, Standing, Word};
+use cleatfold_blame::{pause_ms, standing, Evidence, Failure, Standing};
 use cleatfold_wire::job::{JobState, Kind};
 use cleatfold_wire::*;
 use std::collections::BTreeSet;
@@ -133,7 +133,7 @@
             }
         }
         for (id, mut suspicion) in suspects {
-            let faulty = suspicion.is_faulty(|job, task| self.word(&id, job, task));
+            let faulty = suspicion.is_faulty(|job, task| self.evidence(&id, job, task));
             let Some(m) = self.fleet.machines.get_mut(&id) else { continue };
             m.suspicion = suspicion;
             if faulty {
@@ -144,22 +144,22 @@
         }
     }
 
-    fn word(&self, machine: &MachineId, job: &JobId, task: TaskIx) -> Word {
+    fn evidence(&self, machine: &MachineId, job: &JobId, task: TaskIx) -> Evidence {
         let Some(live) = self.mirror.jobs.get(job) else {
             let done = self.terminal.get(job).is_some_and(|s| s.state == JobState::Done);
-            return if done { Word::WorksElsewhere } else { Word::NoEvidence };
+            return if done { Evidence::WorksElsewhere } else { Evidence::NoEvidence };
         };
         let local = self.locals.get(job);
         let elsewhere =
             |f: &Failure| f.task == task && f.machine != *machine && !self.is_faulty(&f.machine);
         if self.failures(job, local).iter().any(elsewhere) {
-            return Word::NoEvidence;
+            return Evidence::NoEvidence;
         }
         let ends = local.iter().flat_map(|l| &l.ends);
         if live.done > 0 || ends.into_iter().any(|e| e.done) {
-            return Word::WorksElsewhere;
+            return Evidence::WorksElsewhere;
         }
-        Word::Open
+        Evidence::Open
     }
 
     fn is_faulty(&self, machine: &MachineId) -> bool {
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -5,12 +5,12 @@
 
 mod admission;
 mod archive;
-mod blame;
 mod cancellations;
 pub mod config;
 mod duties;
 pub mod effects;
 mod entitled;
+mod fault_attribution;
 mod fleet;
 mod format;
 mod jobs;
