Region: late commands, reports for the next leader, mute machines, cancellations while machines hang; a test for each meeting of commands and reports

Cause: the meetings of commands to machines and reports from them had tests for some cases only, and the region could not play four of the troubles that meet there.

Change: kinds LateCommands, ReportsForNextLeader, Mute and CancelNow (world/commands.rs), drawn and paired like all others; watchers for starts after a confirmed cancellation, for cancelled tasks that go on after a hang, and for anything but a stop sent directly (world/cancelled.rs, commands.rs). tests/commands.rs brings each meeting about at its moment.

--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -4,6 +4,8 @@
 //! Time is simulated and all luck is seeded: a seed always plays the same day.
 
 mod blinks;
+mod cancelled;
+mod commands;
 mod drawn;
 mod insistent;
 mod lanes;
@@ -121,6 +123,10 @@
     Insists,
     /// A copy of a report comes to a controller; nobody waits for the answer.
     Copy(usize, Box<Report>),
+    /// A user cancels a job, and repeats that until there is an answer.
+    Cancels(JobId),
+    /// Looks whether a leader or an owner has changed, for the reports that are kept until then.
+    LeadershipCheck,
     /// A user asks about a job that it has submitted.
     Asks(JobId),
     /// A worker may have something to do by itself.
@@ -268,6 +274,8 @@
     pub moments: moments::Moments,
     pub late: late::Late,
     pub insistent: insistent::Insistent,
+    pub command_faults: commands::CommandFaults,
+    pub cancel_watch: cancelled::CancelWatch,
 }
 
 impl World {
@@ -342,6 +350,8 @@
             moments: Default::default(),
             late: Default::default(),
             insistent: Default::default(),
+            command_faults: Default::default(),
+            cancel_watch: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -432,9 +442,7 @@
                     self.at(delay, Happens::CloudRequest { node, life, op, request });
                 }
                 Effect::Order { machine, orders, .. } => {
-                    let delay = self.delay(node) + self.order_late();
-                    let order = Happens::Orders { node, life, machine, orders, answered: true };
-                    self.at(delay, order);
+                    self.send_command(node, machine, orders);
                 }
                 Effect::Probe { machine, .. } => {
                     let delay = 2 * self.delay(node);
@@ -595,6 +603,8 @@
             Happens::Meets(trouble, for_ms, aim) => self.meets(trouble, for_ms, aim),
             Happens::Insists => self.insists(),
             Happens::Copy(node, report) => self.copy_arrives(node, *report),
+            Happens::Cancels(job) => self.cancels(job),
+            Happens::LeadershipCheck => self.leadership_check(),
             Happens::Asks(job) => self.asks(job),
             Happens::MemberAsks { node, machine, key, number, report } => {
                 if self.nodes[node].is_none() {
--- a/crates/cleatfold-lab/src/world/drawn.rs
+++ b/crates/cleatfold-lab/src/world/drawn.rs
@@ -51,6 +51,14 @@
     OverAndBack,
     /// All controllers end and one alone is back soon.
     AllButOne,
+    /// A share of direct commands is executed late, unanswered.
+    LateCommands,
+    /// Copies of reports arrive everywhere once a leader or an owner has changed.
+    ReportsForNextLeader,
+    /// Machines reach no controller, while direct commands reach them.
+    Mute,
+    /// Many long jobs are cancelled at once, and machines of theirs hang.
+    CancelNow,
 }
 
 /// Which controller the second of two troubles befalls.
@@ -99,6 +107,10 @@
         Trouble::HeldOrders,
         Trouble::OverAndBack,
         Trouble::AllButOne,
+        Trouble::LateCommands,
+        Trouble::ReportsForNextLeader,
+        Trouble::Mute,
+        Trouble::CancelNow,
     ];
 
     /// Lasts less than so long, where it does not say itself.
@@ -186,6 +198,13 @@
                 | Trouble::AllButOne,
                 _,
             ) => self.meeting(kind, node, until),
+            (
+                Trouble::LateCommands
+                | Trouble::ReportsForNextLeader
+                | Trouble::Mute
+                | Trouble::CancelNow,
+                _,
+            ) => self.command_fault(kind, until),
             (_, None) => {}
             (Trouble::Die, Some(machine)) => self.happen(Happens::Die(machine)),
             (Trouble::Hiccup, Some(machine)) => self.hiccup(&machine),
--- a/crates/cleatfold-lab/src/world/insistent.rs
+++ b/crates/cleatfold-lab/src/world/insistent.rs
@@ -25,7 +25,7 @@
 
     /// A controller that users come to: mostly one that is ready, at times one that a connection
     /// was left open to.
-    fn users_node(&mut self) -> Option<usize> {
+    pub(super) fn users_node(&mut self) -> Option<usize> {
         let there = |i: &usize| self.cut[*i] <= self.now && self.nodes[*i].is_some();
         let all: Vec<usize> = (0..self.nodes.len()).filter(there).collect();
         let ready = |i: &usize| {
--- a/crates/cleatfold-lab/src/world/meetings.rs
+++ b/crates/cleatfold-lab/src/world/meetings.rs
@@ -154,7 +154,7 @@
         }
     }
 
-    fn over_at(&mut self, at: Ms) {
+    pub(super) fn over_at(&mut self, at: Ms) {
         self.meetings.over = self.meetings.over.max(at);
     }
 
--- a/crates/cleatfold-lab/src/world/watch.rs
+++ b/crates/cleatfold-lab/src/world/watch.rs
@@ -10,6 +10,7 @@
         if self.now.since(self.looked) >= 250 {
             self.looked = self.now;
             self.watch_answers();
+            self.watch_cancelled();
             for task in self.running.keys() {
                 let told = self.jobs.get(&task.job).and_then(|w| w.cancel_told);
                 if told.is_some_and(|t| self.now.since(t) > self.size.cancel_ms) {
@@ -51,6 +52,7 @@
                     }
                     self.see_start(&task, machine);
                     self.see_launch(&task, machine);
+                    self.see_cancelled_start(&task);
                     match self.running.insert(task.clone(), machine.clone()) {
                         Some(other) => self
                             .broken
--- a/crates/cleatfold-lab/src/world/workers.rs
+++ b/crates/cleatfold-lab/src/world/workers.rs
@@ -52,11 +52,15 @@
 
     pub(super) fn member_asks(&mut self, id: &MachineId, key: MemberKey, report: StepReport) {
         let home = self.rng.random_range(0..self.nodes.len());
+        let mute = self.is_mute(id);
         let link = self.member_links.entry(key.clone()).or_insert((home, 0));
         link.1 += 1;
         let (node, number) = *link;
         let (machine, response) = (id.clone(), None);
         self.at(5000, Happens::MemberTold { machine, key: key.clone(), number, response });
+        if mute {
+            return;
+        }
         let delay = self.delay(node);
         let machine = id.clone();
         self.at(delay, Happens::MemberAsks { node, machine, key, number, report });
@@ -143,7 +147,9 @@
         let node = link.target;
         self.at(4000, Happens::WorkerTimeout { machine: id.clone(), number });
         self.copy_perhaps(&report);
-        let cut = self.machine_cut(&id) || self.troubles.cut_off(node, &report.zone, now);
+        self.keep_perhaps(&report);
+        let unreached = self.machine_cut(&id) || self.is_mute(&id);
+        let cut = unreached || self.troubles.cut_off(node, &report.zone, now);
         if self.nodes[node].is_none() || cut {
             return;
         }
--- a/crates/cleatfold-lab/tests/pairs.rs
+++ b/crates/cleatfold-lab/tests/pairs.rs
@@ -71,6 +71,59 @@
     meet(&pairs, 1..2);
 }
 
+#[test]
+fn late_commands_and_old_reports_meet_others() {
+    use Trouble::*;
+    meet(&[(ReportsForNextLeader, Kill), (Mute, Kill), (CancelNow, OverAndBack)], 1..2);
+    meet(&[(LateCommands, Apart), (Mute, ReportsForNextLeader), (StoreCut, CancelNow)], 1..2);
+}
+
+/// Commands that are late, reports for the next leader, machines that reach nobody, and machines that hang while their
+/// jobs are cancelled each make their mark.
+#[test]
+fn faults_of_commands_and_reports_do_what_they_say() {
+    let busy = |size: Size| {
+        let mut world = World::sized(4, false, size);
+        world.keep_busy(Ms(60_000));
+        world.run(Ms(25_000));
+        assert!(world.running.len() > 20);
+        world
+    };
+    let size = Size { machines: 24, ..Size::SMALL };
+    // Where there is little room, tasks are stopped by direct commands for others.
+    let mut world = busy(Size { machines: 9, ..Size::SMALL });
+    world.submit_elastic();
+    world.late_commands(1.0, Ms(60_000));
+    world.run(Ms(80_000));
+    let faults = &world.command_faults;
+    assert!(faults.late > 0 && faults.held.len() == faults.late as usize, "{}", faults.late);
+    assert!(faults.held.iter().all(|h| (2_000..16_000).contains(&h.due.since(h.sent))));
+    let mut world = busy(size);
+    world.reports_for_next_leader(1.0, Ms(60_000));
+    world.run(Ms(27_000));
+    assert_eq!(world.command_faults.delivered, 0);
+    let most = world.most().expect("somebody holds machines");
+    world.crash(most, 5_000);
+    world.run(Ms(37_000));
+    assert!(world.command_faults.delivered > 20 && world.troubles.copied > 20);
+    let mut world = busy(size);
+    let machine = world.running.values().next().expect("a busy machine").clone();
+    let session = world.workers[&machine].session;
+    world.mute(&machine, Ms(45_000));
+    world.run(Ms(36_000));
+    assert!(world.workers.get(&machine).is_none_or(|w| w.session > session));
+    assert!(world.running.values().all(|m| *m != machine));
+    let mut world = busy(size);
+    world.cancel_now(5, Some(6_000));
+    let asked = |w: &World| w.jobs.values().filter(|j| j.cancel_asked).count();
+    let (before, hung) = (asked(&world), world.command_faults.hung);
+    world.run(Ms(25_200));
+    assert!(asked(&world) >= before + 4 && (1..=8).contains(&hung), "{hung} hang");
+    world.run(Ms(70_000));
+    assert!(world.cancel_watch.went_on_count > 0, "nothing went on after its machine hung");
+    assert!(world.broken.is_empty(), "{:#?}", world.broken);
+}
+
 /// Every kind makes a mark of its own on the world.
 #[test]
 fn the_troubles_do_what_they_say() {
