--- a/crates/cleatfold-control/tests/small_jobs.rs
+++ b/crates/cleatfold-control/tests/small_jobs.rs
@@ -48,7 +48,7 @@
     assert!(aborted * 6 > done + aborted, "{aborted} aborted of {}", done + aborted);
     assert!(world.polls.forgotten.is_empty() && world.polls.longest_ms < 75_000);
     // Nothing is ordered once it is known that a job is cancelled.
-    let late = &world.small.late_starts;
+    let late = &world.cancel_watch.starts_after;
     assert!(late.iter().all(|(_, after_ms)| *after_ms <= ON_ITS_WAY_MS), "{late:?}");
     assert!(late.len() * 50 < aborted, "{late:?} of {aborted}");
 }
--- a/crates/cleatfold-lab/src/world/answers.rs
+++ b/crates/cleatfold-lab/src/world/answers.rs
@@ -58,9 +58,6 @@
     pub odd_answers: BTreeMap<u16, u32>,
     /// Requests that lack a field.
     pub malformed: u32,
-    /// Tasks that began on a machine after their user was told that the job is cancelled. (Allowed for as long as a
-    /// command of before may be on its way; what goes beyond is `ran_cancelled`.)
-    pub starts_after_cancel: u32,
 }
 
 fn told(response: &Response) -> (u16, Option<JobState>) {
@@ -222,11 +219,6 @@
         }
     }
 
-    pub(super) fn see_late_start(&mut self, task: &TaskId) {
-        let told = self.jobs.get(&task.job).and_then(|w| w.cancel_told);
-        self.answers.starts_after_cancel += u32::from(told.is_some());
-    }
-
     pub(super) fn odd(&mut self) {
         if self.answers.odd <= self.now {
             return;
--- a/crates/cleatfold-lab/src/world/drawn.rs
+++ b/crates/cleatfold-lab/src/world/drawn.rs
@@ -65,6 +65,14 @@
     AllAway,
     /// One-task jobs come four a second, and a quarter of them are cancelled.
     SmallJobs,
+    /// A share of direct commands is executed late, unanswered.
+    LateCommands,
+    /// Copies of reports arrive everywhere once a leader or an owner has changed.
+    ReportsForNextLeader,
+    /// Machines reach no controller, while direct commands reach them.
+    Mute,
+    /// Many long jobs are cancelled at once, and machines of theirs hang.
+    CancelNow,
 }
 
 /// Which controller the second of two troubles befalls.
@@ -120,6 +128,10 @@
         Trouble::TenLeaders,
         Trouble::AllAway,
         Trouble::SmallJobs,
+        Trouble::LateCommands,
+        Trouble::ReportsForNextLeader,
+        Trouble::Mute,
+        Trouble::CancelNow,
     ];
 
     /// Lasts less than so long, where it does not say itself.
@@ -217,6 +229,13 @@
             ) => self.answers_trouble(kind, until),
             (Trouble::TenLeaders | Trouble::AllAway, _) => self.leader_trouble(kind, until),
             (Trouble::SmallJobs, _) => self.small_jobs(until),
+            (
+                Trouble::LateCommands
+                | Trouble::ReportsForNextLeader
+                | Trouble::Mute
+                | Trouble::CancelNow,
+                _,
+            ) => self.command_fault(kind, until),
             (_, None) => {}
             (Trouble::Die, Some(machine)) => self.happen(Happens::Die(machine)),
             (Trouble::Hiccup, Some(machine)) => self.hiccup(&machine),
