A one-zone job goes on in another zone once no task of it may run

Cause: the first claim of a one-zone job wrote its zone into the record and nothing took it out again. When that zone had no machine left and none could be rented, the job waited for ever beside free machines of other zones, though a task may start in any zone in which it is not apart from the job's other tasks at that moment.

Change: the zone binds while a claim stands. A claim in another zone needs that no claim is left, and is guarded by every part of a larger job beside the record, since a claim in a part does not change the record. A job with more parts than a transaction takes guards stays bound.

--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -5,6 +5,7 @@
 //! shows what stands. Until then nothing is built on it.
 
 use crate::effects::*;
+use crate::mirror::PartMap;
 use crate::node::{Node, Pending};
 use crate::records::*;
 use crate::steps::{judge, Asked, Judged};
@@ -18,6 +19,9 @@
 use cleatfold_wire::*;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Guards that the state service takes in one transaction, per change that it takes.
+const GUARDS_PER_CHANGE: usize = 4;
+
 /// A claim that is over, with proof.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct End {
@@ -125,12 +129,36 @@
     record.in_parts().then_some(ix.0 / PART)
 }
 
+fn guard_once(txn: &mut Txn, key: String, version: Version) {
+    if !txn.guards.iter().any(|g| g.key == key) {
+        txn.guard(key, version);
+    }
+}
+
 /// The transaction fails unless the pool is still ours.
 fn guard_pool(txn: &mut Txn, pool: &PoolId, token: Token) {
-    let key = pool_key(pool);
-    if !txn.guards.iter().any(|g| g.key == key) {
-        txn.guard(key, Version(token.0));
+    guard_once(txn, pool_key(pool), Version(token.0));
+}
+
+fn version_of_part(parts: Option<&PartMap>, part: u32) -> Version {
+    parts.and_then(|p| p.get(&part)).map(|p| p.0).unwrap_or_default()
+}
+
+/// The transaction fails if any part of the job has changed: a claim in a part does not change the job's record, so
+/// one that we have not read would go unnoticed. False if that takes more guards than a transaction may have.
+fn guard_parts(txn: &mut Txn, record: &JobRecord, parts: Option<&PartMap>, most: usize) -> bool {
+    if !record.in_parts() {
+        return true;
+    }
+    let open: Vec<u32> =
+        (0..record.part_count()).filter(|part| !record.parts_done.contains(part)).collect();
+    if txn.guards.len() + open.len() > most {
+        return false;
+    }
+    for part in open {
+        guard_once(txn, part_key(&record.spec.id, part), version_of_part(parts, part));
     }
+    true
 }
 
 impl Node {
@@ -201,7 +229,7 @@
         fn table_of<'a>(
             record: &'a mut JobRecord,
             touched: &'a mut BTreeMap<u32, Table>,
-            parts: Option<&crate::mirror::PartMap>,
+            parts: Option<&PartMap>,
             part: Option<u32>,
         ) -> &'a mut Table {
             match part {
@@ -270,6 +298,8 @@
         if !record.aborted && !local.abort {
             let tasks = record.spec.tasks;
             let half = tasks.div_ceil(2);
+            // A quarter is left for pools and whatever else claims are guarded by.
+            let most_guards = self.cfg.txn_ops * (GUARDS_PER_CHANGE - 1);
             let mut by_zone: BTreeMap<ZoneId, u32> = BTreeMap::new();
             if record.spec.spread {
                 for table in self.mirror.tables(job) {
@@ -287,12 +317,20 @@
                 }
                 let zone = &wish.pool.zone;
                 if record.spec.one_zone {
-                    if record.zone.as_ref().is_some_and(|z| z != zone) {
-                        continue;
-                    }
-                    if record.zone.is_none() {
-                        record.zone = Some(zone.clone());
-                        head_changed = true;
+                    match &record.zone {
+                        Some(bound) if bound == zone => {}
+                        // Bound while any task of it may run; then it may go on elsewhere. (A job whose zone
+                        // had no machine left waited for ever beside free ones of other zones.)
+                        Some(_)
+                            if claimed > 0
+                                || !guard_parts(&mut txn, &record, parts, most_guards) =>
+                        {
+                            continue
+                        }
+                        _ => {
+                            record.zone = Some(zone.clone());
+                            head_changed = true;
+                        }
                     }
                 }
                 let mut want = wish.tasks.min(most);
@@ -392,8 +430,8 @@
             !record.in_parts() || (live.record.aborted && live.version <= self.mirror.applied);
         let over = finished || (record.aborted && claimed == 0 && all_read);
         for (part, table) in touched {
-            let version = parts.and_then(|p| p.get(&part)).map(|p| p.0).unwrap_or_default();
-            txn.guard(part_key(job, part), version);
+            let version = version_of_part(parts, part);
+            guard_once(&mut txn, part_key(job, part), version);
             let (from, to) = record.part_range(part);
             if table.done_count() == to - from {
                 // The part's record goes; what it lost stays with the job.
--- a/crates/cleatfold-control/src/mirror.rs
+++ b/crates/cleatfold-control/src/mirror.rs
@@ -37,6 +37,11 @@
         cleatfold_lanes::place_of(self.record.place, self.version)
     }
 
+    /// Where a one-zone job has to stay while any task of it may run.
+    pub fn bound_zone(&self) -> Option<&ZoneId> {
+        self.record.zone.as_ref().filter(|_| self.claimed > 0)
+    }
+
     /// How wide an elastic job should run.
     pub fn width(&self) -> Option<Width> {
         let elastic = self.record.spec.elastic.as_ref()?;
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -259,7 +259,7 @@
         let spec = &live.record.spec;
         spec.types.as_ref().is_none_or(|t| t.contains(&pool.machine_type))
             && spec.zone.as_ref().is_none_or(|z| *z == pool.zone)
-            && (!spec.one_zone || live.record.zone.as_ref().is_none_or(|z| *z == pool.zone))
+            && live.bound_zone().is_none_or(|z| *z == pool.zone)
             && live.each.within(&self.fleet.total(&pool.machine_type))
     }
 
