Region: watch for jobs left waiting beside room; scarce limits, fast boots; tests of teams at their limits

Once all troubles are over, no job may wait for 90 s while a machine that fits has room, by the workers' own tasks, and its team is under its limit, by what runs. Room counts once it was free at ten looks a second apart, and a place under a limit is on its way back for 5 s after its task ended: what is handed on within seconds is not left. Jobs that fail everywhere, machines that hang, hear nothing, are cut off or are being returned do not count.

--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -322,6 +322,11 @@
         self.in_contact() || !self.reach.view.peers.someone_reads(self.now)
     }
 
+    /// Whether this controller gives the machine no new tasks because it is to be returned.
+    pub fn empties(&self, machine: &MachineId) -> bool {
+        self.fleet.machines.get(machine).is_some_and(|m| m.draining || m.deleting)
+    }
+
     // ---- the lease and our own key ----
 
     fn keep_lease(&mut self) {
--- a/crates/cleatfold-lab/src/days.rs
+++ b/crates/cleatfold-lab/src/days.rs
@@ -16,6 +16,12 @@
     pub teams: usize,
     #[arg(long, default_value_t = 24, value_parser = count())]
     pub machines: usize,
+    /// Every team has a limit of about a tenth of what it asks for.
+    #[arg(long)]
+    pub scarce: bool,
+    /// Machines boot in 1.5 s.
+    #[arg(long)]
+    pub fast_boots: bool,
     /// How many days; with --pairs, of each pair.
     #[arg(long, default_value_t = 50, value_parser = clap::value_parser!(u64).range(1..))]
     pub seeds: u64,
@@ -49,7 +55,9 @@
 impl Plan {
     pub fn region(&self) -> Size {
         let Plan { nodes, teams, machines, .. } = *self;
-        Size { nodes, teams, machines, ..Size::SMALL }
+        let usual = if self.scarce { Size::SCARCE } else { Size::SMALL };
+        let boot_s = if self.fast_boots { Size::FAST_BOOT_S } else { usual.boot_s };
+        Size { nodes, teams, machines, boot_s, ..usual }
     }
 }
 
@@ -59,6 +67,8 @@
             nodes: 3,
             teams: 4,
             machines: 24,
+            scarce: false,
+            fast_boots: false,
             seeds: 50,
             seed: 1,
             troubles: 16,
@@ -83,6 +93,8 @@
     pub copied: u32,
     /// The longest time after the troubles in which a job's questions went unanswered.
     pub longest_ms: u64,
+    /// The longest time for which a job waited beside room after the troubles.
+    pub waited_ms: u64,
     pub sizes: Vec<SizeRow>,
 }
 
@@ -121,6 +133,7 @@
         jobs: world.jobs.values().filter(|j| j.accepted).count(),
         copied: world.troubles.copied,
         longest_ms: world.polls.longest_ms,
+        waited_ms: world.starvation.longest_ms,
         sizes,
     }
 }
@@ -149,12 +162,14 @@
     for day in &days {
         let passed = if day.broken.is_empty() { "passed" } else { "FAILED" };
         println!(
-            "{passed} seed {}: {} jobs, {} starts, {} copies, longest without an answer {:.1} s",
+            "{passed} seed {}: {} jobs, {} starts, {} copies, longest without an answer {:.1} s, \
+             beside room {:.1} s",
             day.seed,
             day.jobs,
             day.started,
             day.copied,
-            day.longest_ms as f64 / 1000.0
+            day.longest_ms as f64 / 1000.0,
+            day.waited_ms as f64 / 1000.0
         );
         if plan.verbose || !day.broken.is_empty() {
             day.befell.iter().for_each(|b| println!("    {b}"));
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -15,6 +15,7 @@
 mod services;
 mod size;
 mod sizes;
+mod starvation;
 mod troubles;
 mod users;
 mod watch;
@@ -268,6 +269,7 @@
     pub moments: moments::Moments,
     pub late: late::Late,
     pub insistent: insistent::Insistent,
+    pub starvation: starvation::Starvation,
 }
 
 impl World {
@@ -342,6 +344,7 @@
             moments: Default::default(),
             late: Default::default(),
             insistent: Default::default(),
+            starvation: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
--- a/crates/cleatfold-lab/src/world/lanes.rs
+++ b/crates/cleatfold-lab/src/world/lanes.rs
@@ -155,15 +155,13 @@
                 *zones.entry((&other.job, &w.zone)).or_default() += 1;
             }
         }
-        let limit = self.size.limit_cpus;
         let waiting = self.lanes.since.iter().filter_map(|(id, since)| {
             let (record, _) = self.lanes.records.get(id)?;
             let spec = &record.spec;
             let half = spec.tasks.div_ceil(2);
             let full = |z: &&ZoneId| zones.get(&(id, *z)).is_some_and(|n| *n >= half);
-            let limited = (1..self.size.teams).step_by(2).any(|i| team_id(i) == spec.team);
             let used = self.in_use.get(&spec.team).copied().unwrap_or_default();
-            let within = !limited || used + spec.cpus <= limit;
+            let within = self.limit_of(&spec.team).is_none_or(|limit| used + spec.cpus <= limit);
             Some(Waiting {
                 job: id.clone(),
                 lane: spec.urgency,
--- a/crates/cleatfold-lab/src/world/late.rs
+++ b/crates/cleatfold-lab/src/world/late.rs
@@ -116,6 +116,16 @@
     pub audit: Audit,
 }
 
+impl Late {
+    /// When the last of them has been carried out.
+    pub(super) fn over(&self) -> Ms {
+        match self.kinds.is_empty() {
+            true => Ms(0),
+            false => self.until.plus(LATE_MS.end),
+        }
+    }
+}
+
 const LATE_MS: std::ops::Range<u64> = 2_000..12_000;
 /// Parts and steps of a job that is gone are removed within this time where somebody has the duty of it.
 const CLEAN_UP_MS: u64 = 30_000;
--- a/crates/cleatfold-lab/src/world/size.rs
+++ b/crates/cleatfold-lab/src/world/size.rs
@@ -12,8 +12,9 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Size {
     pub nodes: usize,
-    /// The second of them, and every other one after it, has the limit.
+    /// The second of them, and every other one after it, has the limit; or all have.
     pub teams: usize,
+    pub all_limited: bool,
     pub machines: usize,
     pub changes_per_s: f64,
     /// Of each team that has a limit.
@@ -31,12 +32,15 @@
     pub admission: bool,
     /// Large images: what their origin gives, and machines. None: no weights block.
     pub weights: Option<Weights>,
+    /// How long machines take to boot, in seconds.
+    pub boot_s: f64,
 }
 
 impl Size {
     pub const SMALL: Size = Size {
         nodes: NODES,
         teams: 2,
+        all_limited: false,
         machines: 9,
         changes_per_s: 60.0,
         limit_cpus: 24.0,
@@ -48,6 +52,18 @@
         most_jobs: 60,
         admission: true,
         weights: None,
+        boot_s: 5.0,
+    };
+    /// What a region with fast boots takes to boot a machine, in seconds.
+    pub const FAST_BOOT_S: f64 = 1.5;
+    /// Every team has a limit of about a tenth of what it asks for at once.
+    pub const SCARCE: Size = Size {
+        teams: 4,
+        all_limited: true,
+        limit_cpus: 8.0,
+        machines: 16,
+        tasks: (1, 16),
+        ..Size::SMALL
     };
     /// Hundreds of machines that report seldom, and few changes a second.
     pub const GROWN: Size = Size {
@@ -70,6 +86,11 @@
 }
 
 impl Size {
+    /// Whether the team of this number has the limit.
+    pub fn is_limited(&self, team: usize) -> bool {
+        self.all_limited || team % 2 == 1
+    }
+
     pub fn times(&self) -> Times {
         let Config { report_ms, node_ttl_ms, lease_ms, cancel_ms, .. } = config(0, *self);
         Times { report_ms, node_ttl_ms, lease_ms, cancel_ms }
@@ -86,7 +107,7 @@
         name: team_id(i),
         cpus: 8.0,
         gpus: 0.0,
-        cpus_max: if i % 2 == 1 { size.limit_cpus } else { 0.0 },
+        cpus_max: if size.is_limited(i) { size.limit_cpus } else { 0.0 },
         gpus_max: 0.0,
     };
     Config {
@@ -136,7 +157,7 @@
         fetch_gb_per_s: size.weights.map_or(1.0, |w| w.fetch_gb_per_s),
         price: 1.0,
         spot_price: 0.4,
-        boot_s: 5.0,
+        boot_s: size.boot_s,
         zones: zones.iter().map(|z| ZoneId::new(*z)).collect(),
     }
 }
--- a/crates/cleatfold-lab/src/world/troubles.rs
+++ b/crates/cleatfold-lab/src/world/troubles.rs
@@ -242,7 +242,7 @@
     pub(super) fn boot_ms(&mut self) -> u64 {
         match self.troubles.quick_boots > self.now {
             true => self.rng.random_range(200..900),
-            false => 5000,
+            false => (self.size.boot_s * 1000.0) as u64,
         }
     }
 
--- a/crates/cleatfold-lab/src/world/watch.rs
+++ b/crates/cleatfold-lab/src/world/watch.rs
@@ -10,6 +10,7 @@
         if self.now.since(self.looked) >= 250 {
             self.looked = self.now;
             self.watch_answers();
+            self.watch_starvation();
             for task in self.running.keys() {
                 let told = self.jobs.get(&task.job).and_then(|w| w.cancel_told);
                 if told.is_some_and(|t| self.now.since(t) > self.size.cancel_ms) {
@@ -22,13 +23,15 @@
     /// Notes that a task begins, or no longer is, on a machine.
     fn uses(&mut self, task: &TaskId, begins: bool) {
         let Some(spec) = self.jobs.get(&task.job).and_then(|w| w.spec.as_ref()) else { return };
-        let Some(i) = (1..self.size.teams).step_by(2).find(|i| team_id(*i) == spec.team) else {
-            return;
-        };
-        let used = self.in_use.entry(team_id(i)).or_default();
-        *used += if begins { spec.cpus } else { -spec.cpus };
-        if *used > self.size.limit_cpus + 1e-6 {
-            self.broken.push(format!("{:?} quota {} {used}", self.now, spec.team));
+        let Some(limit) = self.limit_of(&spec.team) else { return };
+        let (team, cpus) = (spec.team.clone(), spec.cpus);
+        let used = self.in_use.entry(team.clone()).or_default();
+        *used += if begins { cpus } else { -cpus };
+        if *used > limit + 1e-6 {
+            self.broken.push(format!("{:?} quota {team} {used}", self.now));
+        }
+        if !begins {
+            self.note_freed(&team, cpus);
         }
     }
 
@@ -51,6 +54,7 @@
                     }
                     self.see_start(&task, machine);
                     self.see_launch(&task, machine);
+                    self.note_job_started(&task.job);
                     match self.running.insert(task.clone(), machine.clone()) {
                         Some(other) => self
                             .broken
