What another controller has returned is no supply for whoever rents

Cause: the renter reckoned with a machine until it had been out of the cloud's list for 30 s and twice the list's lag, also one that its owner had returned.

Change: a machine that was in the list, is missing from the last whole one and does not report is no supply. Nothing else goes by that. The new test in tests/boots.rs failed before (nothing rented within 15 s) and passes.

--- a/crates/cleatfold-control/src/fleet.rs
+++ b/crates/cleatfold-control/src/fleet.rs
@@ -32,6 +32,8 @@
     pub endpoint: Option<String>,
     pub listed: Option<MachineState>,
     pub listed_at: Ms,
+    /// It has been in the cloud's list; one that is then missing from it is gone.
+    pub was_listed: bool,
     /// When it was rented, by the list's age.
     pub born: Ms,
     pub report: Option<LastReport>,
@@ -71,6 +73,7 @@
             endpoint: None,
             listed: None,
             listed_at: now,
+            was_listed: false,
             born: now,
             report: None,
             heard: None,
@@ -124,6 +127,8 @@
 pub struct Fleet {
     pub types: BTreeMap<TypeId, MachineType>,
     pub machines: BTreeMap<MachineId, Machine>,
+    /// When the cloud's list last came whole.
+    pub listed_at: Ms,
     /// Deleted with proof; late news about them is ignored.
     deleted: BTreeSet<MachineId>,
     deleted_order: VecDeque<MachineId>,
--- a/crates/cleatfold-control/src/machines.rs
+++ b/crates/cleatfold-control/src/machines.rs
@@ -112,6 +112,7 @@
 
     fn on_list(&mut self, list: Vec<ListedMachine>) {
         let now = self.now;
+        self.fleet.listed_at = now;
         for listed in &list {
             if self.fleet.is_deleted(&listed.id) {
                 continue;
@@ -125,6 +126,7 @@
                 m
             });
             machine.listed_at = now;
+            machine.was_listed = true;
             if machine.endpoint.is_none() {
                 machine.endpoint.clone_from(&listed.endpoint);
             }
@@ -142,6 +144,14 @@
         });
     }
 
+    /// Whether a machine that reports to another controller may still be there: it is in the last list, or no list has
+    /// named it yet. Decides what is rented, nothing else.
+    pub(crate) fn may_be_there(&self, machine: &Machine) -> bool {
+        let heard = machine.heard().is_some_and(|at| self.now.since(at) <= self.silent_ms());
+        let listed = machine.listed_at >= self.fleet.listed_at;
+        heard || listed || !machine.was_listed
+    }
+
     /// All claims on a machine that is provably gone are over.
     fn on_machine_gone(
         &mut self,
--- a/crates/cleatfold-control/src/renting.rs
+++ b/crates/cleatfold-control/src/renting.rs
@@ -170,7 +170,9 @@
         let mut rooms = self.team_rooms(|live| stays(&live.record.spec));
         let mut supply: BTreeMap<(PoolId, bool), f64> = BTreeMap::new();
         for (id, m) in &self.fleet.machines {
-            if !m.takes_work() {
+            // One that another controller has returned is no supply. (It counted for 50 s more, and what could have
+            // been rented for waited that long.)
+            if !m.takes_work() || !self.may_be_there(m) {
                 continue;
             }
             let mut free = self.fleet.total(&m.pool.machine_type).cpus as f64 / 1000.0;
--- a/crates/cleatfold-control/tests/boots.rs
+++ b/crates/cleatfold-control/tests/boots.rs
@@ -102,3 +102,42 @@
     }
     assert!(met > 24, "only {met} times did a machine that was not listed run something");
 }
+
+/// A machine that its owner had returned counted as supply with whoever rents until it had been out of the list for
+/// 50 s, and what came meanwhile waited for it.
+#[test]
+fn what_others_have_returned_is_no_supply() {
+    let mut others = 0;
+    for seed in 20..32u64 {
+        let mut world = region(seed);
+        world.cloud.lag_ms = 0;
+        run_for(&mut world, 6_000);
+        let zone = ZoneId::new(["a", "b", "c"][seed as usize % 3]);
+        let mut spec = plain(&mut world, 1, 3.0);
+        spec.zone = Some(zone.clone());
+        world.submit(0, spec);
+        while world.cloud.machines.is_empty() {
+            run_for(&mut world, 50);
+        }
+        let machine = world.cloud.machines.keys().next().expect("one is rented").clone();
+        run_for(&mut world, 10_000);
+        let owner = meeting::owner(&world, &machine);
+        while world.cloud.machines.contains_key(&machine) {
+            assert!(world.now < Ms(120_000), "seed {seed}: it is not returned");
+            run_for(&mut world, 50);
+        }
+        others += usize::from(owner != holder(&world, Duty::Rent));
+        let asked = world.cloud.asked.len();
+        let mut spec = plain(&mut world, 1, 3.0);
+        spec.zone = Some(zone);
+        world.submit(0, spec);
+        let from = world.now;
+        while world.cloud.asked.len() == asked {
+            run_for(&mut world, 50);
+            let waited_ms = world.now.since(from);
+            assert!(waited_ms < 15_000, "seed {seed}: nothing is rented");
+        }
+        ends_well(&mut world, 60_000, &format!("seed {seed}"));
+    }
+    assert!(others > 3, "only {others} machines were returned by another than the renter");
+}
