--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -20,6 +20,7 @@
 mod size;
 mod sizes;
 mod small_jobs;
+mod starvation;
 mod troubles;
 mod users;
 mod watch;
@@ -298,6 +299,7 @@
     pub answers: answers::Answers,
     pub command_faults: commands::CommandFaults,
     pub cancel_watch: cancelled::CancelWatch,
+    pub starvation: starvation::Starvation,
 }
 
 impl World {
@@ -377,6 +379,7 @@
             answers: Default::default(),
             command_faults: Default::default(),
             cancel_watch: Default::default(),
+            starvation: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
