--- a/docs/days/make.py
+++ b/docs/days/make.py
@@ -40,6 +40,8 @@
         leader's: `crash`, `refusal`, `outage`, `alone` or `roll`. FURTHER: `late_writes`, `late_answers`,
         `late_reports`, `next_reports`, `late_commands`, `machine_deaf`, `machine_mute`, `cancel_now`, `cancel_hang`,
         `cancel_at_end`, `close_looks`, `odd_requests`
+    drawn:NUMBER                             eight of the leader's troubles at drawn times, overlapping, with two or three
+        further ones around each; another NUMBER, another day
 No troubles, but other settings for the day:
     calm                    nothing
     broken:SHARE            broken jobs in every class
@@ -185,7 +187,7 @@
         words = name.split("+")
         faults = troubles(deployment, words)
         extra = changes(site, words)
-        if any(word.startswith("meet:") for word in words):
+        if any(word.startswith(("meet:", "drawn:")) for word in words):
             extra = lasting(faults) + extra
         name = re.sub(r"[^a-z0-9]+", "-", name)
     return f'name = "{name}"\nslot = "scale"\nlight = false\nseed = 200\n{table(faults)}{extra}'
--- a/docs/days/troubles.py
+++ b/docs/days/troubles.py
@@ -3,6 +3,7 @@
 Every time comes from the settings of a site (`Deployment`), so that the same word suits each of them. A length of
 time is a number of seconds or a multiple of a setting: `12`, `1.2lease`, `0.5cancel`, `2report`.
 """
+import random
 import re
 import sys
 from dataclasses import dataclass
@@ -13,6 +14,9 @@
 OUTAGE_CANCELS = 1.25
 # Between two rounds of a meeting, beside the lease: by then the controllers have found each other again.
 REST_S = 20.0
+# A drawn day: how many of the leader's troubles it has, and how long before or after each of them the further ones begin.
+DRAWN_ROUNDS = 8
+DRAWN_OFFSET_S = (-4.0, 6.0)
 # How long the further troubles of a meeting outlast the leader's.
 BEYOND_S = 20.0
 
@@ -240,6 +244,20 @@
     return sorted(faults, key=lambda fault: fault["at_s"])
 
 
+def drawn(site, at, number):
+    """Leader's troubles at drawn moments, two or three further ones around each; they overlap."""
+    rng = random.Random(f"drawn {number}")
+    faults = []
+    for _ in range(DRAWN_ROUNDS):
+        leader = rng.choice(list(MEETINGS))
+        changes, length = MEETINGS[leader](site, at)
+        faults += changes
+        for name in rng.sample(list(FURTHER), rng.choice((2, 3))):
+            faults += FURTHER[name](site, at + rng.uniform(*DRAWN_OFFSET_S), length)
+        at += rng.uniform(0.3, 1.0) * site.lease_s
+    return sorted(faults, key=lambda fault: fault["at_s"])
+
+
 TROUBLES = {
     "alone": alone,
     "apart": apart,
@@ -252,6 +270,7 @@
     "cut": cut,
     "deaf": machine_deaf,
     "down": down,
+    "drawn": drawn,
     "flood": flood,
     "freeze": freeze,
     "half": half,
