--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -5,12 +5,13 @@
 
 mod admission;
 mod archive;
-mod blame;
 mod cancellations;
 pub mod config;
 mod duties;
 pub mod effects;
 mod entitled;
+mod event_number;
+mod fault_attribution;
 mod fleet;
 mod format;
 mod jobs;
@@ -32,6 +33,7 @@
 mod requests;
 mod schedule;
 mod shrink;
+mod state;
 mod steps;
 mod submissions;
 mod teams;
--- a/crates/cleatfold-control/src/machines.rs
+++ b/crates/cleatfold-control/src/machines.rs
@@ -65,7 +65,8 @@
             (Some(Pending::Types), reply) => {
                 self.types_asked = false;
                 match reply {
-                    CloudReply::Types(types) => {
+                    // A list of none says nothing: whoever went by it would refuse every job for good.
+                    CloudReply::Types(types) if !types.is_empty() => {
                         self.fleet.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
                         self.types_at = Some(self.now);
                     }
@@ -278,7 +279,8 @@
             let useful = &mut own.useful[usize::from(m.spot)];
             let useless = *useful <= 0.0;
             *useful -= own.cpus;
-            let unused = now.since(idle_since) > idle_limit && useless && !self.weights.needs(id);
+            let unused =
+                now.since(idle_since) > idle_limit && useless && !self.image_distribution.needs(id);
             if m.draining || unused {
                 delete.push(id.clone());
             }
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -13,11 +13,13 @@
 use cleatfold_wire::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-pub(crate) use crate::pending::{Pending, Submission, Wait, Waiting};
+pub(crate) use crate::pending::{EventNumber, Pending, Submission, Wait, Waiting};
 
 pub struct Node {
     pub(crate) cfg: Config,
     pub(crate) now: Ms,
+    /// The event that is being handled.
+    pub(crate) event: EventNumber,
     /// Time of day in milliseconds; orders the queue, decides nothing else.
     pub(crate) wall_ms: u64,
     pub(crate) stretch: u64,
@@ -26,8 +28,7 @@
     pub(crate) ops: BTreeMap<u64, Pending>,
     pub(crate) resend: Vec<(Ms, u64, Lane, StoreRequest)>,
 
-    pub(crate) format: crate::format::Format,
-    pub(crate) format_again: Ms,
+    pub(crate) format_check: crate::state::format::FormatCheck,
     pub(crate) mirror: Mirror,
     pub(crate) loaded: bool,
     pub(crate) loading: bool,
@@ -66,7 +67,7 @@
     pub(crate) waiting: Vec<Waiting>,
     pub(crate) terminal: crate::requests::Terminal,
     pub(crate) archive: crate::archive::Lookups,
-    pub(crate) losses: crate::losses::Losses,
+    pub(crate) losses: crate::state::losses::Losses,
 
     pub(crate) fleet: Fleet,
     pub(crate) types_at: Option<Ms>,
@@ -77,7 +78,7 @@
     pub(crate) owned_since: BTreeMap<PoolId, (Token, Ms)>,
     pub(crate) held: BTreeMap<MachineId, crate::workers::Held>,
     /// Who reaches whom.
-    pub(crate) reach: crate::reach::Reaching,
+    pub(crate) reach: crate::state::reach::Reaching,
     pub(crate) started: Option<Ms>,
     pub(crate) last_tick: Ms,
     pub(crate) watched: Ms,
@@ -90,32 +91,32 @@
     pub(crate) renting: crate::renting::Renting,
     pub(crate) assigned_at: Ms,
     pub(crate) limits: crate::limits::Limits,
-    pub(crate) admission: crate::admission::Admission,
-    pub(crate) workspaces: crate::workspaces::Workspaces,
-    pub(crate) teams: crate::teams::Teams,
-    pub(crate) lanes: crate::lanes::Lanes,
-    pub(crate) weights: crate::weights::Weights,
+    pub(crate) admission: crate::state::admission::Admission,
+    pub(crate) workspaces: crate::state::workspaces::Workspaces,
+    pub(crate) teams: crate::state::teams::Teams,
+    pub(crate) lanes: crate::state::lanes::Lanes,
+    pub(crate) image_distribution: crate::state::image_distribution::ImageDistribution,
     pub(crate) cleanup_inflight: bool,
     /// Tasks of our machines that are told to leave.
-    pub(crate) stops: crate::shrink::Stops,
+    pub(crate) stops: crate::state::stops::Stops,
     pub(crate) completed_at: Ms,
-    pub(crate) cancellations: crate::cancellations::Cancellations,
+    pub(crate) cancellations: crate::state::cancellations::Cancellations,
 }
 
 impl Node {
     pub fn new(cfg: Config) -> Self {
-        let reach = crate::reach::Reaching::new(&cfg);
+        let reach = crate::state::reach::Reaching::new(&cfg);
         Self {
             cfg,
             now: Ms(0),
+            event: EventNumber(0),
             wall_ms: 0,
             stretch: 1,
             out: Vec::new(),
             next_op: 1,
             ops: BTreeMap::new(),
             resend: Vec::new(),
-            format: Default::default(),
-            format_again: Ms(0),
+            format_check: Default::default(),
             mirror: Mirror::default(),
             loaded: false,
             loading: false,
@@ -170,7 +171,7 @@
             workspaces: Default::default(),
             teams: Default::default(),
             lanes: Default::default(),
-            weights: Default::default(),
+            image_distribution: Default::default(),
             cleanup_inflight: false,
             stops: Default::default(),
             completed_at: Ms(0),
@@ -186,6 +187,7 @@
     /// Handles one event; returns what is to be done.
     pub fn handle(&mut self, now: Ms, wall_ms: u64, event: Event) -> Vec<Effect> {
         self.now = now.max(self.now);
+        self.event.0 += 1;
         self.started.get_or_insert(self.now);
         self.wall_ms = wall_ms;
         // Looking for what is due costs by the number of jobs; most events make nothing due.
@@ -326,7 +328,7 @@
 
     fn keep_lease(&mut self) {
         // Nothing is written before it is known that the records are ours to read.
-        if self.lease_asked || self.format != crate::format::Format::Known {
+        if self.lease_asked || !self.format_check.is_known() {
             return;
         }
         let ttl_ms = self.cfg.node_ttl_ms;
@@ -390,8 +392,8 @@
             self.want_sync = false;
             self.sync_sent = self.now;
             let request = StoreRequest::Changes { prefix: LIVE.into(), from: self.mirror.applied };
-            let sent = self.now;
-            self.store(Lane::Renewal, request, Pending::Sync { sent });
+            let (sent, sent_at) = (self.now, self.event);
+            self.store(Lane::Renewal, request, Pending::Sync { sent, sent_at });
         }
     }
 
@@ -402,7 +404,7 @@
         self.load_from = None;
         self.load_base = None;
         // A claim whose answer comes while we load is in no page read before, nor on its way any more.
-        self.limits.blind = Some(self.now);
+        self.limits.blind = Some(self.event);
     }
 
     fn on_load(&mut self, sent: Ms, reply: StoreReply) {
@@ -436,7 +438,7 @@
         }
     }
 
-    fn on_sync(&mut self, sent: Ms, reply: StoreReply) {
+    fn on_sync(&mut self, sent: Ms, sent_at: EventNumber, reply: StoreReply) {
         self.sync_inflight = false;
         match reply {
             StoreReply::Events(events) => {
@@ -449,22 +451,22 @@
                 self.mirror.applied = self.mirror.applied.max(events.revision);
                 self.fresh = Some(self.fresh.map_or(sent, |f| f.max(sent)));
                 self.reach.view.letting.reset();
-                if self.limits.blind.is_some_and(|b| b <= sent) {
+                if self.limits.blind.is_some_and(|b| b <= sent_at) {
                     self.limits.blind = None;
                 }
                 for local in self.locals.values_mut() {
-                    if local.stale_since.is_some_and(|s| s <= sent) {
+                    if local.stale_since.is_some_and(|s| s <= sent_at) {
                         local.stale_since = None;
                     }
                 }
-                self.after_sync(sent);
+                self.after_sync(sent_at);
             }
             StoreReply::TooOld => self.reload(),
             _ => self.store_failed = Some(self.now),
         }
     }
 
-    fn after_sync(&mut self, sent: Ms) {
+    fn after_sync(&mut self, sent_at: EventNumber) {
         self.note_read_cancellations();
         for job in std::mem::take(&mut self.mirror.gone) {
             self.archive.stale |= self.terminal.get(&job).is_none();
@@ -472,7 +474,7 @@
         }
         self.follow_archive();
         self.note_ownership();
-        self.answer_waiting(sent);
+        self.answer_waiting(sent_at);
         self.sync_if_due();
     }
 
@@ -524,7 +526,7 @@
             _ => {}
         }
         match pending {
-            Pending::Sync { sent } => self.on_sync(sent, reply),
+            Pending::Sync { sent, sent_at } => self.on_sync(sent, sent_at, reply),
             Pending::Load { sent } => self.on_load(sent, reply),
             Pending::Job(tx) => self.on_job_tx(op, *tx, reply),
             Pending::Submit { batch, txn } => self.on_submitted(batch, txn, reply),
--- a/crates/cleatfold-control/src/pending.rs
+++ b/crates/cleatfold-control/src/pending.rs
@@ -1,5 +1,6 @@
 //! What waits for an answer: our calls to the services, and those who asked us.
 
+pub(crate) use crate::event_number::EventNumber;
 use crate::jobs::JobTx;
 use crate::records::*;
 use cleatfold_duties::Duty;
@@ -14,6 +15,7 @@
 pub(crate) enum Pending {
     Sync {
         sent: Ms,
+        sent_at: EventNumber,
     },
     Load {
         sent: Ms,
@@ -62,7 +64,7 @@
     Spread,
     Allot,
     /// Room that is being made, and who leaves once that is durable.
-    Made(Box<crate::lanes::Making>),
+    Made(Box<crate::state::lanes::Making>),
     /// What is in the teams' logs already.
     LossLog,
     /// A group of losses for a team's log.
@@ -78,7 +80,7 @@
     },
     /// Taking workspaces, or giving one over.
     Workspaces(Vec<TeamId>, HolderRecord),
-    History(Box<crate::workspaces::Write>),
+    History(Box<crate::state::workspaces::Write>),
     /// The oldest groups of a team's history.
     Oldest {
         team: TeamId,
@@ -86,7 +88,7 @@
     },
     /// The whole archive, for teams of which it is not known what has ended.
     ArchivePage,
-    TeamHistory(Box<crate::teams::Turning>),
+    TeamHistory(Box<crate::state::teams::Turning>),
     Types,
     List {
         sent: Ms,
@@ -113,6 +115,8 @@
     pub rid: u64,
     pub job: JobId,
     pub arrived: Ms,
+    /// The event that brought it: only a reading that was sent at this one or later answers it.
+    pub arrived_at: EventNumber,
     pub kind: Wait,
 }
 
--- a/crates/cleatfold-control/src/teams.rs
+++ b/crates/cleatfold-control/src/teams.rs
@@ -6,9 +6,10 @@
 
 use crate::effects::*;
 use crate::mirror::Live;
-use crate::node::{Node, Pending};
+use crate::node::{EventNumber, Node, Pending};
 use crate::records::*;
-use crate::workspaces::read_group;
+use crate::state::teams::{Question, Turning};
+use crate::state::workspaces::read_group;
 use cleatfold_wire::team::*;
 use cleatfold_wire::*;
 use cleatfold_workspace::page::{by_place, Paper};
@@ -24,34 +25,6 @@
 /// Groups of a history that are read at once.
 const GROUPS: u32 = 12;
 
-#[derive(Debug)]
-struct Question {
-    rid: u64,
-    team: TeamId,
-    what: TeamAsk,
-    since: u64,
-    arrived: Ms,
-    /// What must have been read of the archive: all that had ended by the reading that counts for it.
-    upto: Option<u64>,
-}
-
-#[derive(Default)]
-pub(crate) struct Teams {
-    waiting: Vec<Question>,
-    /// Which of its team's jobs is the how-manyeth in the queue's order, and when that was so.
-    ranks: (Ms, BTreeMap<JobId, u32>),
-}
-
-/// A history that is being read.
-#[derive(Debug)]
-pub(crate) struct Turning {
-    rid: u64,
-    team: TeamId,
-    since: u64,
-    /// How many entries were in groups when the reading was sent.
-    entries: u64,
-}
-
 impl Node {
     pub(crate) fn on_team(&mut self, rid: u64, team: TeamId, what: TeamAsk, since: u64) {
         if self.cfg.team(&team).is_none() {
@@ -63,7 +36,8 @@
         if self.teams.waiting.iter().filter(|q| q.team == team).count() >= MOST {
             return self.reply(rid, Response::later("too many such questions"));
         }
-        let question = Question { rid, team, what, since, arrived: self.now, upto: None };
+        let (arrived, arrived_at) = (self.now, self.event);
+        let question = Question { rid, team, what, since, arrived, arrived_at, upto: None };
         self.teams.waiting.push(question);
         self.want_sync = true;
         self.sync_if_due();
@@ -79,8 +53,8 @@
         late.into_iter().map(|q| q.rid).collect()
     }
 
-    /// A reading sent at `sent` is in (none: more is known of what has ended).
-    pub(crate) fn answer_teams(&mut self, sent: Option<Ms>) {
+    /// A reading sent at event `sent_at` is in (none: more is known of what has ended).
+    pub(crate) fn answer_teams(&mut self, sent_at: Option<EventNumber>) {
         if self.teams.waiting.is_empty() {
             return;
         }
@@ -88,7 +62,7 @@
         let read = self.workspaces.ended.to();
         let mut behind = false;
         for mut question in std::mem::take(&mut self.teams.waiting) {
-            if question.upto.is_none() && sent.is_some_and(|s| question.arrived <= s) {
+            if question.upto.is_none() && sent_at.is_some_and(|s| question.arrived_at <= s) {
                 question.upto = Some(applied);
             }
             match (question.upto, question.what) {
--- a/crates/cleatfold-control/src/weights.rs
+++ b/crates/cleatfold-control/src/weights.rs
@@ -1,55 +1,34 @@
-//! Images that many machines want at once. `cleatfold_weights` decides; here is what it decides from,
-//! what becomes of it, and the two records.
+//! The distribution of images that many machines want at once: what `cleatfold_weights` decides from, what
+//! becomes of its decisions, and the two records.
 
 use crate::effects::*;
 use crate::fleet::Machine;
 use crate::node::{Node, Pending};
 use crate::records::*;
-use cleatfold_weights::{Seen, Settings, Spreader, Turn, View, Want};
+use cleatfold_weights::{Seen, Settings, Turn, View, Want};
 use cleatfold_wire::job::Kind;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::worker::{Command, HeldImage, TaskReport, TaskState};
 use cleatfold_wire::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Between two looks at all spreads, two changes of the seats, and two of who holds what.
+/// Between two looks at all spreads, two changes of the slots, and two of who holds what.
 const LOOK_MS: u64 = 250;
-const SEATS_MS: u64 = 1500;
+const SLOTS_MS: u64 = 1500;
 const HOLDERS_MS: u64 = 5000;
 /// An image that no more machines want has no record of its own.
 const HANDFUL: usize = 5;
 
-#[derive(Debug, Default)]
-pub(crate) struct Weights {
-    spreader: Spreader,
-    looked: Ms,
-    seats_at: Ms,
-    seats_inflight: bool,
-    /// Machines whose seat the change that is on its way gives back.
-    given_back: BTreeSet<MachineId>,
-    holders_at: Ms,
-    holders_inflight: bool,
-    /// What was seen running in a machine's present session, so that its image is there.
-    ran: BTreeMap<MachineId, (Session, BTreeSet<ImageId>)>,
-    /// Machines with the last copy of something in use.
-    last: BTreeSet<MachineId>,
-}
-
-impl Weights {
-    /// Not to be returned for idleness: others fetch from it, or nobody else has what it has.
-    pub fn needs(&self, id: &MachineId) -> bool {
-        self.spreader.serves(id) || self.last.contains(id)
-    }
-}
-
 impl Node {
     /// At each tick, once we serve.
     pub(crate) fn keep_weights(&mut self) {
         let Some(settings) = self.cfg.weights.clone() else { return };
-        if self.now.since(self.weights.looked) < LOOK_MS * self.stretch || !self.in_contact() {
+        if self.now.since(self.image_distribution.looked) < LOOK_MS * self.stretch
+            || !self.in_contact()
+        {
             return;
         }
-        self.weights.looked = self.now;
+        self.image_distribution.looked = self.now;
         self.note_ran();
         let (wants, in_use) = self.wants(&settings);
         let seen = self.seen(&settings);
@@ -58,8 +37,8 @@
             self.owned_since.keys().filter(|p| self.my_token(p).is_some()).cloned().collect();
         let spreads: BTreeMap<ImageId, SpreadRecord> =
             self.mirror.weights.iter().map(|(i, r)| (i.clone(), r.1.clone())).collect();
-        let mut spreader = std::mem::take(&mut self.weights.spreader);
-        let (origin, come) = spreader.pass(&View {
+        let mut distributor = std::mem::take(&mut self.image_distribution.distributor);
+        let (origin, come) = distributor.pass(&View {
             now: self.now,
             wall_ms: self.wall_ms,
             value_bytes: self.cfg.value_bytes,
@@ -73,9 +52,9 @@
             gone: &|id| self.fetches_nothing(id),
             endpoints: &|id| self.fleet.machines.get(id)?.endpoint.clone(),
         });
-        self.weights.spreader = spreader;
+        self.image_distribution.distributor = distributor;
         if let Some(origin) = origin {
-            self.write_seats(origin);
+            self.write_slots(origin);
         }
         self.answer_held(&come);
     }
@@ -87,8 +66,8 @@
             Some(machine) => machine.expired,
             None => {
                 let known = self.cfg.list_lag_ms + self.cfg.lease_ms + self.cfg.given_up_ms();
-                let seat = self.mirror.origin.1.seats.get(id);
-                let owned = seat.and_then(|s| self.owned_since.get(&s.pool));
+                let slot = self.mirror.origin.1.slots.get(id);
+                let owned = slot.and_then(|s| self.owned_since.get(&s.pool));
                 self.fleet.is_deleted(id) || owned.is_some_and(|o| self.now.since(o.1) > known)
             }
         }
@@ -121,7 +100,7 @@
                     lane: spec.urgency as u8,
                     gang: spec.kind == Kind::Gang,
                     place: live.place(),
-                    mb_per_s: settings.seat(kind.map_or(1.0, |t| t.fetch_gb_per_s)),
+                    mb_per_s: settings.slot(kind.map_or(1.0, |t| t.fetch_gb_per_s)),
                     // Of others' machines nothing is known: they decide themselves.
                     hears: images.is_none_or(|i| i.is_some()),
                     stuck: images.is_some_and(Node::is_stuck),
@@ -163,9 +142,9 @@
                         fetching.insert(spec.image.clone());
                     }
                     Some(_) => {}
-                    // A job that has gone since: whatever it has a seat for.
+                    // A job that has gone since: whatever it has a slot for.
                     None => {
-                        fetching.extend(self.mirror.origin.1.seats.get(id).map(|s| s.image.clone()))
+                        fetching.extend(self.mirror.origin.1.slots.get(id).map(|s| s.image.clone()))
                     }
                 }
             }
@@ -198,7 +177,7 @@
         if let Some(held) = &report.images {
             return held.iter().map(|i| (i.image.clone(), i.part)).collect();
         }
-        let ran = self.weights.ran.get(id).filter(|r| r.0 == report.session);
+        let ran = self.image_distribution.ran.get(id).filter(|r| r.0 == report.session);
         let kept = |i: &&ImageId| machine.images.iter().any(|m| m.0 == **i);
         let ran = ran.into_iter().flat_map(|r| r.1.iter()).filter(kept);
         ran.map(|image| (image.clone(), 1.0)).collect()
@@ -206,14 +185,14 @@
 
     fn note_ran(&mut self) {
         let machines = &self.fleet.machines;
-        self.weights.ran.retain(|id, _| machines.contains_key(id));
+        self.image_distribution.ran.retain(|id, _| machines.contains_key(id));
         for (id, machine) in machines {
             let Some(report) = &machine.report else { continue };
             let running = report.tasks.iter().filter(|t| t.state == TaskState::Running);
             for task in running {
                 let Some(live) = self.mirror.jobs.get(&task.task.job) else { continue };
                 let fresh = || (report.session, BTreeSet::new());
-                let ran = self.weights.ran.entry(id.clone()).or_insert_with(fresh);
+                let ran = self.image_distribution.ran.entry(id.clone()).or_insert_with(fresh);
                 if ran.0 != report.session {
                     *ran = fresh();
                 }
@@ -235,19 +214,19 @@
         if self.images_there(id, machine).get(&spec.image).is_some_and(|part| *part >= 1.0) {
             return Some(vec![]);
         }
-        match self.weights.spreader.turn(id, &spec.image)? {
+        match self.image_distribution.distributor.turn(id, &spec.image)? {
             // One that lists its images has just said that it is not: it came back with an empty cache
-            // since turns were last looked at, and would have fetched without a seat.
+            // since turns were last looked at, and would have fetched without a slot.
             Turn::Here => {
                 let lists = machine.report.as_ref().is_some_and(|r| r.images.is_some());
                 (!lists).then(Vec::new)
             }
             Turn::From(sources) => Some(sources.clone()),
-            // The seat as it stands, not as it stood when turns were last looked at.
+            // The slot as it stands, not as it stood when turns were last looked at.
             Turn::Origin => {
-                let seat = self.mirror.origin.1.seats.get(id)?;
-                let stands = seat.image == spec.image && seat.pool == machine.pool;
-                (stands && !self.weights.given_back.contains(id)).then(Vec::new)
+                let slot = self.mirror.origin.1.slots.get(id)?;
+                let stands = slot.image == spec.image && slot.pool == machine.pool;
+                (stands && !self.image_distribution.given_back.contains(id)).then(Vec::new)
             }
         }
     }
@@ -256,7 +235,7 @@
     pub(crate) fn new_sources(&self, id: &MachineId, tasks: &[TaskReport]) -> Vec<Command> {
         // Only what was decided since it said so. (By the turn that it had, a stuck machine was sent back
         // to the source that had failed it at each report, and never stood still long enough to be seen.)
-        if !self.weights.spreader.is_moved(id) {
+        if !self.image_distribution.distributor.is_moved(id) {
             return vec![];
         }
         let fetching = tasks.iter().filter(|t| t.state == TaskState::Fetching);
@@ -281,22 +260,24 @@
             live.is_some_and(|l| settings.is_large(l.record.spec.image_gb))
         });
         if large {
-            self.weights.spreader.ordered(id, self.now);
+            self.image_distribution.distributor.ordered(id, self.now);
         }
     }
 
     // ---- the records ----
 
-    /// Changes the seats of our pools: guarded by the record, so that the sum stays within the bound
+    /// Changes the slots of our pools: guarded by the record, so that the sum stays within the bound
     /// whoever else adds to it, and by the pools' tokens.
-    fn write_seats(&mut self, record: OriginRecord) {
-        let since = self.now.since(self.weights.seats_at);
-        if self.weights.seats_inflight || (since < SEATS_MS && self.weights.seats_at > Ms(0)) {
+    fn write_slots(&mut self, record: OriginRecord) {
+        let since = self.now.since(self.image_distribution.slots_at);
+        if self.image_distribution.slots_inflight
+            || (since < SLOTS_MS && self.image_distribution.slots_at > Ms(0))
+        {
             return;
         }
         let old = &self.mirror.origin.1;
         let changed = |from: &OriginRecord, to: &OriginRecord| -> Vec<(MachineId, PoolId)> {
-            let gone = from.seats.iter().filter(|(m, s)| to.seats.get(*m) != Some(*s));
+            let gone = from.slots.iter().filter(|(m, s)| to.slots.get(*m) != Some(*s));
             gone.map(|(m, s)| (m.clone(), s.pool.clone())).collect()
         };
         let (gone, new) = (changed(old, &record), changed(&record, old));
@@ -308,9 +289,9 @@
             txn.guard(pool_key(pool), Version(token.0));
         }
         txn.put(ORIGIN_KEY, &record, None);
-        self.weights.given_back = gone.into_iter().map(|c| c.0).collect();
-        self.weights.seats_inflight = true;
-        self.weights.seats_at = self.now;
+        self.image_distribution.given_back = gone.into_iter().map(|c| c.0).collect();
+        self.image_distribution.slots_inflight = true;
+        self.image_distribution.slots_at = self.now;
         let request = StoreRequest::Txn(txn.clone());
         self.store(Lane::Claim, request, Pending::Origin { txn, record });
     }
@@ -326,17 +307,17 @@
                 if self.mirror.origin.0 < version {
                     self.mirror.origin = (version, record);
                 }
-                // Those whose seat it is need not wait for the next look.
-                self.weights.looked = Ms(0);
+                // Those whose slot it is need not wait for the next look.
+                self.image_distribution.looked = Ms(0);
             }
             // Somebody else was first.
             _ => {
-                self.weights.seats_at = Ms(self.now.0.saturating_sub(SEATS_MS - 300));
+                self.image_distribution.slots_at = Ms(self.now.0.saturating_sub(SLOTS_MS - 300));
                 self.want_sync = true;
             }
         }
-        self.weights.seats_inflight = false;
-        self.weights.given_back.clear();
+        self.image_distribution.slots_inflight = false;
+        self.image_distribution.given_back.clear();
     }
 
     /// Says which of our machines hold what is being spread, and notes those that hold the last
@@ -355,8 +336,10 @@
                 last.insert(only.clone());
             }
         }
-        self.weights.last = last;
-        if self.weights.holders_inflight || self.now.since(self.weights.holders_at) < HOLDERS_MS {
+        self.image_distribution.last = last;
+        if self.image_distribution.holders_inflight
+            || self.now.since(self.image_distribution.holders_at) < HOLDERS_MS
+        {
             return;
         }
         let known = self.mirror.weights.keys();
@@ -395,8 +378,8 @@
             } else {
                 continue;
             }
-            self.weights.holders_inflight = true;
-            self.weights.holders_at = self.now;
+            self.image_distribution.holders_inflight = true;
+            self.image_distribution.holders_at = self.now;
             self.store(Lane::Poll, StoreRequest::Txn(txn), Pending::Spread);
             return;
         }
@@ -404,7 +387,7 @@
 
     /// Whatever came of it, the next reading tells.
     pub(crate) fn on_spread(&mut self) {
-        self.weights.holders_inflight = false;
+        self.image_distribution.holders_inflight = false;
         self.want_sync = true;
     }
 }
--- a/crates/cleatfold-control/src/workspaces.rs
+++ b/crates/cleatfold-control/src/workspaces.rs
@@ -1,6 +1,6 @@
-//! Each team's workspace: who keeps it, and its history. `cleatfold_workspace` decides.
+//! Each team's workspace: who owns it, and its history. `cleatfold_workspace` decides.
 //!
-//! Everything a keeper writes is guarded by the version of the workspace's key, so a keeper that was
+//! Everything an owner writes is guarded by the version of the workspace's key, so an owner that was
 //! replaced writes nothing any more, however late. Which jobs have ended is read from the archive, where
 //! each is written once: a history is a copy of it in the order of its revisions, and whoever keeps the
 //! team next goes on from the revision that the head names.
@@ -8,10 +8,10 @@
 use crate::effects::*;
 use crate::node::{Node, Pending};
 use crate::records::*;
-use cleatfold_duties::Vacancies;
+use crate::state::workspaces::{read_group, Kept, Listing, Write};
 use cleatfold_wire::store::{Events, Item, Txn};
 use cleatfold_wire::*;
-use cleatfold_workspace::{keeper, End, Ended, GROUP};
+use cleatfold_workspace::{owner, End, GROUP};
 use std::collections::BTreeMap;
 
 /// How often it is looked whether a workspace stands empty, and whether a history is to be written.
@@ -28,54 +28,6 @@
 /// So many workspaces at most are taken ahead of claims.
 const FEW: usize = 4;
 
-#[derive(Default)]
-pub(crate) struct Workspaces {
-    vacancies: Vacancies<TeamId>,
-    kept: BTreeMap<TeamId, Kept>,
-    pub ended: Ended,
-    /// The whole archive is being gone through.
-    listing: Option<Listing>,
-    looked: Ms,
-    wrote: Ms,
-    followed: Ms,
-    /// Nothing is taken or given before a reading sent after this.
-    unsure: Option<Ms>,
-}
-
-/// A workspace of ours, under its token.
-struct Kept {
-    token: Version,
-    writing: bool,
-    /// Nothing is written before a reading sent after this.
-    unsure: Option<Ms>,
-    looked_for_old: Ms,
-    looking: bool,
-    /// Groups that go with the next change, and the first entry that stays.
-    gone: (Vec<u64>, u64),
-}
-
-/// Ended jobs by the revision that ended them.
-type Found = BTreeMap<(u64, JobId), End>;
-
-#[derive(Default)]
-struct Listing {
-    /// By team: from which revision on its ended jobs are looked for, and what was found.
-    teams: BTreeMap<TeamId, (u64, Found)>,
-    /// The revision of the first page.
-    at: Option<u64>,
-    from: Option<String>,
-    asked: bool,
-}
-
-/// A change to a history, until its outcome is known.
-#[derive(Debug)]
-pub(crate) struct Write {
-    team: TeamId,
-    token: Version,
-    head: HistoryHead,
-    txn: Txn,
-}
-
 fn end(job: &JobId, archive: &ArchiveRecord, version: Version) -> End {
     End { version: version.0, team: archive.team.clone(), entry: archive.entry(job) }
 }
@@ -93,7 +45,7 @@
             return;
         }
         self.workspaces.looked = self.now;
-        self.keep_keepers();
+        self.keep_ownership();
         self.note_kept();
         if self.now.since(self.workspaces.wrote) >= HISTORY_MS {
             self.workspaces.wrote = self.now;
@@ -116,12 +68,12 @@
 
     // ---- who keeps what ----
 
-    fn keep_keepers(&mut self) {
+    fn keep_ownership(&mut self) {
         let (now, me) = (self.now, self.cfg.me.clone());
         let teams: Vec<TeamId> = self.cfg.teams.iter().map(|t| t.name.clone()).collect();
         let mut vacancies = std::mem::take(&mut self.workspaces.vacancies);
         let mirror = &self.mirror;
-        // As pools are: a keeper is whoever the record names, as long as that life of it has its key.
+        // As pools are: an owner is whoever the record names, as long as that life of it has its key.
         // What cannot be read is nobody's to write over.
         let held = |team: &TeamId| {
             let holder = mirror.workspaces.get(team).map(|w| &w.1);
@@ -134,7 +86,7 @@
         let incarnation = self.incarnation.filter(|i| known == Some(*i) && !unsure);
         if let Some(incarnation) = incarnation.filter(|_| self.in_contact() && self.pace.open()) {
             self.workspaces.unsure = None;
-            let rank = |team: &TeamId, live: &_| keeper::rank(team, &me, live);
+            let rank = |team: &TeamId, live: &_| owner::rank(team, &me, live);
             let former = |team: &TeamId| {
                 let holder = mirror.workspaces.get(team).map(|w| &w.1);
                 holder.is_some_and(|h| h.owner == me && h.incarnation != incarnation)
@@ -149,7 +101,7 @@
             let kept = &self.workspaces.kept;
             let idle = kept.iter().filter(|(_, k)| !k.writing).map(|(t, _)| t);
             if let Some(team) = vacancies.give(now, idle, rank) {
-                let first = keeper::first(&team, vacancies.live().iter()).cloned();
+                let first = owner::first(&team, vacancies.live().iter()).cloned();
                 let first = first.filter(|n| *n != me);
                 let holder = first.and_then(|owner| {
                     let incarnation = self.mirror.nodes.get(&owner)?.0;
@@ -463,14 +415,3 @@
         kept.gone = self.cfg.history.gone(&head, &oldest, self.wall_ms);
     }
 }
-
-pub(crate) fn read_group(item: &Item) -> Option<(u64, HistoryGroup)> {
-    let number = item.key.rsplit('/').next()?.parse().ok()?;
-    match serde_json::from_str(item.value.get()) {
-        Ok(group) => Some((number, group)),
-        Err(error) => {
-            tracing::error!(key = item.key, %error, "unreadable record");
-            None
-        }
-    }
-}
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -3,11 +3,15 @@
 //!
 //! Time is simulated and all luck is seeded: a seed always plays the same day.
 
+mod answers;
 mod blinks;
+mod cancelled;
+mod commands;
 mod drawn;
 mod insistent;
 mod lanes;
 mod late;
+mod leaders;
 mod look;
 mod meetings;
 mod moments;
@@ -15,12 +19,14 @@
 mod services;
 mod size;
 mod sizes;
+mod small_jobs;
 mod troubles;
 mod users;
 mod watch;
 mod weights;
 mod workers;
 
+pub use answers::Look;
 pub use blinks::{Back, Blink, Moment, Step, Who};
 pub use drawn::{Aim, Trouble};
 pub use late::Purpose;
@@ -101,6 +107,13 @@
         tokens: BTreeMap<PoolId, Option<Version>>,
         until: Ms,
     },
+    /// Whoever leads ends, so many times more until then.
+    LeaderEnds {
+        left: u32,
+        until: Ms,
+    },
+    /// Users of one-task jobs.
+    SmallJobs,
     Cut {
         node: usize,
         until: Ms,
@@ -121,8 +134,20 @@
     Insists,
     /// A copy of a report comes to a controller; nobody waits for the answer.
     Copy(usize, Box<Report>),
+    /// A user cancels a job, and repeats that until there is an answer.
+    Cancels(JobId),
+    /// Looks whether a leader or an owner has changed, for the reports that are kept until then.
+    LeadershipCheck,
     /// A user asks about a job that it has submitted.
     Asks(JobId),
+    /// A user does something about a job that has just changed.
+    Looks {
+        node: usize,
+        job: JobId,
+        what: Look,
+    },
+    /// One of the odd requests.
+    Odd,
     /// A worker may have something to do by itself.
     Wake(MachineId),
     MemberAsks {
@@ -267,7 +292,12 @@
     pub meetings: meetings::Meetings,
     pub moments: moments::Moments,
     pub late: late::Late,
+    pub leaders: leaders::Leaders,
+    pub small: small_jobs::SmallJobs,
     pub insistent: insistent::Insistent,
+    pub answers: answers::Answers,
+    pub command_faults: commands::CommandFaults,
+    pub cancel_watch: cancelled::CancelWatch,
 }
 
 impl World {
@@ -341,7 +371,12 @@
             meetings: Default::default(),
             moments: Default::default(),
             late: Default::default(),
+            leaders: Default::default(),
+            small: Default::default(),
             insistent: Default::default(),
+            answers: Default::default(),
+            command_faults: Default::default(),
+            cancel_watch: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -413,6 +448,7 @@
                     }
                     let (there, back) = self.lateness(&request);
                     delay += there;
+                    let lost = lost || self.answer_lost(&request);
                     let answered = !lost && delay + back <= meetings::STORE_MS;
                     if !answered {
                         let reply = match request {
@@ -432,9 +468,7 @@
                     self.at(delay, Happens::CloudRequest { node, life, op, request });
                 }
                 Effect::Order { machine, orders, .. } => {
-                    let delay = self.delay(node) + self.order_late();
-                    let order = Happens::Orders { node, life, machine, orders, answered: true };
-                    self.at(delay, order);
+                    self.send_command(node, machine, orders);
                 }
                 Effect::Probe { machine, .. } => {
                     let delay = 2 * self.delay(node);
@@ -571,8 +605,11 @@
             Happens::Blink(i) => self.blink_node(i),
             Happens::Thaw(i, life) => self.thaw(i, life),
             Happens::Restart(i) if self.nodes[i].is_some() => {}
+            Happens::Restart(i) if self.stays_away(i) => {}
             Happens::Restart(i) => self.nodes[i] = Some(Node::new(config(i, self.size))),
             Happens::Ends { node, back_ms } => self.crash(node, back_ms),
+            Happens::LeaderEnds { left, until } => self.leader_ends(left, until),
+            Happens::SmallJobs => self.small_jobs_go_on(),
             Happens::OnceMoved { node, tokens, until } => self.once_moved(node, tokens, until),
             Happens::Cut { node, until } => self.cut[node] = self.cut[node].max(until),
             Happens::StoreCut { node, until } => self.store_cut[node] = until,
@@ -595,7 +632,11 @@
             Happens::Meets(trouble, for_ms, aim) => self.meets(trouble, for_ms, aim),
             Happens::Insists => self.insists(),
             Happens::Copy(node, report) => self.copy_arrives(node, *report),
+            Happens::Cancels(job) => self.cancels(job),
+            Happens::LeadershipCheck => self.leadership_check(),
             Happens::Asks(job) => self.asks(job),
+            Happens::Looks { node, job, what } => self.looks(node, job, what),
+            Happens::Odd => self.odd(),
             Happens::MemberAsks { node, machine, key, number, report } => {
                 if self.nodes[node].is_none() {
                     return;
--- a/crates/cleatfold-lab/tests/pairs.rs
+++ b/crates/cleatfold-lab/tests/pairs.rs
@@ -71,6 +71,109 @@
     meet(&pairs, 1..2);
 }
 
+#[test]
+fn close_looks_lost_answers_and_odd_requests_meet_others() {
+    use Trouble::*;
+    let pairs = [(CloseLooks, Kill), (AnswersLost, CloseLooks), (CancelAtEnd, AllBlink)];
+    meet(&pairs, 1..2);
+    meet(&[(OddRequests, Apart), (Slow, CloseLooks), (RefusedThenOutage, CancelAtEnd)], 1..2);
+}
+
+#[test]
+fn changing_leaders_and_small_jobs_meet_others() {
+    use Trouble::*;
+    let pairs = [
+        (TenLeaders, Outage),
+        (AllAway, LateWrites),
+        (SmallJobs, TenLeaders),
+        (AllAway, SmallJobs),
+    ];
+    meet(&pairs, 1..2);
+}
+
+/// Leaders end and are back, all controllers are away at the same time, and a quarter of many small jobs is cancelled.
+#[test]
+fn changing_leaders_and_small_jobs_do_what_they_say() {
+    let mut world = World::sized(5, false, Size { machines: 24, ..Size::SMALL });
+    world.run(Ms(20_000));
+    world.small_jobs(Ms(140_000));
+    world.ten_leaders(Ms(140_000));
+    world.run(Ms(140_000));
+    assert_eq!((world.leaders.ended.len(), world.leaders.epochs.len()), (10, 10));
+    let (submitted, cancelled) = (world.small.submitted, world.small.cancelled);
+    assert!((460..=480).contains(&submitted), "{submitted}");
+    assert!((submitted / 6..submitted / 3).contains(&cancelled), "{cancelled} of {submitted}");
+    let lease_ms = world.size.times().lease_ms;
+    world.all_away(lease_ms + 3_000, 2_000);
+    // Nothing else starts one of them before.
+    world.happen(Happens::Restart(0));
+    run_for(&mut world, lease_ms + 2_900);
+    assert_eq!(world.nodes.iter().flatten().count(), 0);
+    run_for(&mut world, 200);
+    assert_eq!(world.nodes.iter().flatten().count(), 1);
+    run_for(&mut world, 4_000);
+    assert_eq!(world.nodes.iter().flatten().count(), 3);
+    assert_eq!(world.leaders.longest_away_ms, lease_ms + 3_000);
+}
+
+fn run_for(world: &mut World, ms: u64) {
+    let until = world.now.plus(ms);
+    world.run(until);
+}
+
+#[test]
+fn late_commands_and_old_reports_meet_others() {
+    use Trouble::*;
+    meet(&[(ReportsForNextLeader, Kill), (Mute, Kill), (CancelNow, OverAndBack)], 1..2);
+    meet(&[(LateCommands, Apart), (Mute, ReportsForNextLeader), (StoreCut, CancelNow)], 1..2);
+}
+
+/// Commands that are late, reports for the next leader, machines that reach nobody, and machines that hang while their
+/// jobs are cancelled each make their mark.
+#[test]
+fn faults_of_commands_and_reports_do_what_they_say() {
+    let busy = |size: Size| {
+        let mut world = World::sized(4, false, size);
+        world.keep_busy(Ms(60_000));
+        world.run(Ms(25_000));
+        assert!(world.running.len() > 20);
+        world
+    };
+    let size = Size { machines: 24, ..Size::SMALL };
+    // Where there is little room, tasks are stopped by direct commands for others.
+    let mut world = busy(Size { machines: 9, ..Size::SMALL });
+    world.submit_elastic();
+    world.late_commands(1.0, Ms(60_000));
+    world.run(Ms(80_000));
+    let faults = &world.command_faults;
+    assert!(faults.late > 0 && faults.held.len() == faults.late as usize, "{}", faults.late);
+    assert!(faults.held.iter().all(|h| (2_000..16_000).contains(&h.due.since(h.sent))));
+    let mut world = busy(size);
+    world.reports_for_next_leader(1.0, Ms(60_000));
+    world.run(Ms(27_000));
+    assert_eq!(world.command_faults.delivered, 0);
+    let most = world.most().expect("somebody holds machines");
+    world.crash(most, 5_000);
+    world.run(Ms(37_000));
+    assert!(world.command_faults.delivered > 20 && world.troubles.copied > 20);
+    let mut world = busy(size);
+    let machine = world.running.values().next().expect("a busy machine").clone();
+    let session = world.workers[&machine].session;
+    world.mute(&machine, Ms(45_000));
+    world.run(Ms(36_000));
+    assert!(world.workers.get(&machine).is_none_or(|w| w.session > session));
+    assert!(world.running.values().all(|m| *m != machine));
+    let mut world = busy(size);
+    world.cancel_now(5, Some(6_000));
+    let asked = |w: &World| w.jobs.values().filter(|j| j.cancel_asked).count();
+    let (before, hung) = (asked(&world), world.command_faults.hung);
+    world.run(Ms(25_200));
+    assert!(asked(&world) >= before + 4 && (1..=8).contains(&hung), "{hung} hang");
+    world.run(Ms(70_000));
+    assert!(world.cancel_watch.went_on_count > 0, "nothing went on after its machine hung");
+    assert!(world.broken.is_empty(), "{:#?}", world.broken);
+}
+
 /// Every kind makes a mark of its own on the world.
 #[test]
 fn the_troubles_do_what_they_say() {
@@ -109,6 +212,18 @@
     world.happen(Happens::Meets(Trouble::OverAndBack, 1_000, cleatfold_lab::world::Aim::Most));
     world.run(Ms(55_000));
     assert_eq!(world.lives[most], life + 2);
+    let mut world = busy();
+    world.look_closely_until(Ms(60_000));
+    world.lose_answers(0.5, Ms(60_000));
+    world.cancel_at_end(1.0, Ms(60_000));
+    world.odd_requests(Ms(60_000));
+    assert_eq!(world.troubles_over(), Ms(60_000));
+    world.run(Ms(60_000));
+    let marks = &world.answers;
+    assert!(marks.looks > 100 && marks.lost_answers > 20, "{} {}", marks.looks, marks.lost_answers);
+    assert!(marks.cancelled_at_end > 5 && marks.malformed > 10, "{}", marks.cancelled_at_end);
+    assert!(marks.odd_answers.contains_key(&422), "{:?}", marks.odd_answers);
+    assert!(world.broken.is_empty(), "{:#?}", world.broken);
     // A machine that hangs past its lease has lost its tasks by then, not before.
     let mut world = busy();
     let machine = world.running.values().next().expect("a busy machine").clone();
