--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -20,6 +20,7 @@
 mod watch;
 mod weights;
 mod workers;
+mod written;
 
 pub use blinks::{Back, Blink, Moment, Step, Who};
 pub use drawn::{Aim, Trouble};
@@ -27,6 +28,7 @@
 pub use polls::TurnedAway;
 pub use size::{node_id, team_id, Size, Times, NODES};
 pub use sizes::SizeRow;
+pub use written::{ChangeCounts, ChangeKind};
 
 use crate::history::StepWatch;
 use cleatfold_control::*;
@@ -268,6 +270,8 @@
     pub moments: moments::Moments,
     pub late: late::Late,
     pub insistent: insistent::Insistent,
+    /// What changes were spent on.
+    pub written: ChangeCounts,
 }
 
 impl World {
@@ -342,6 +346,7 @@
             moments: Default::default(),
             late: Default::default(),
             insistent: Default::default(),
+            written: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
--- a/crates/cleatfold-lab/src/world/services.rs
+++ b/crates/cleatfold-lab/src/world/services.rs
@@ -23,8 +23,10 @@
                 let (unfenced, absences) = self.releases(&txn);
                 let left = self.ends_with_claims(&txn);
                 let steps = self.steps.judge(&self.store, &txn);
+                let kinds = written::kinds(&self.store, &txn);
                 match self.store.txn(&txn) {
                     Ok(version) => {
+                        self.written.add(kinds);
                         self.steps.note(steps);
                         self.broken.append(&mut self.steps.broken);
                         self.broken.extend(unfenced);
@@ -34,6 +36,7 @@
                     }
                     Err(Refusal::Conflict(failed)) => {
                         self.conflicts += 1;
+                        self.written.add_conflict(&txn);
                         StoreReply::Conflict(failed)
                     }
                     Err(Refusal::NoSuchLease) => StoreReply::Bad("no such lease".into()),
