--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -26,6 +26,7 @@
 mod watch;
 mod weights;
 mod workers;
+mod written;
 
 pub use answers::Look;
 pub use blinks::{Back, Blink, Moment, Step, Who};
@@ -34,6 +35,7 @@
 pub use polls::TurnedAway;
 pub use size::{node_id, team_id, Size, Times, NODES};
 pub use sizes::SizeRow;
+pub use written::{ChangeCounts, ChangeKind};
 
 use crate::history::StepWatch;
 use cleatfold_control::*;
@@ -300,6 +302,8 @@
     pub command_faults: commands::CommandFaults,
     pub cancel_watch: cancelled::CancelWatch,
     pub starvation: starvation::Starvation,
+    /// What changes were spent on.
+    pub written: ChangeCounts,
 }
 
 impl World {
@@ -380,6 +384,7 @@
             command_faults: Default::default(),
             cancel_watch: Default::default(),
             starvation: Default::default(),
+            written: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
