The measurements of admission measure themselves

Counting arrivals, capacity and what each team asks for are methods of state::admission::Admission, which take the jobs, the time and the processors in place of the controller; two of its fields are private again. No change of behaviour.

--- a/crates/cleatfold-control/src/admission.rs
+++ b/crates/cleatfold-control/src/admission.rs
@@ -10,10 +10,10 @@
 use crate::mirror::Live;
 use crate::node::{Node, Pending};
 use crate::records::*;
-use crate::state::admission::{work, LongWork};
+use crate::state::admission::{work, LongWork, LOOK_MS, SETTLED_MS};
 use cleatfold_admission::bands;
 use cleatfold_admission::meter::{Largest, Spread};
-use cleatfold_admission::room::{Asks, Room};
+use cleatfold_admission::room::Room;
 use cleatfold_admission::{decide, Allotment, Band, Bounds, Demand, Entry, Group, Small, View};
 use cleatfold_duties::Duty;
 use cleatfold_wire::job::{JobSpec, Kind, Urgency};
@@ -21,11 +21,8 @@
 use cleatfold_wire::*;
 use std::collections::BTreeMap;
 
-const LOOK_MS: u64 = 1000;
 /// An allotment stands for so long, unless a group comes or goes.
 const STAND_MS: u64 = 5000;
-/// The number of machines counts as settled when it has not grown for so long.
-const SETTLED_MS: u64 = 20_000;
 /// Bytes that an entry takes in the record, names included.
 const ENTRY_BYTES: usize = 260;
 
@@ -80,45 +77,14 @@
         }
         self.admission.looked = self.now;
         let wall_s = self.wall_ms as f64 / 1000.0;
-        let admission = &mut self.admission;
-        let jobs = &self.mirror.jobs;
-        admission.seen.retain(|id| jobs.contains_key(id));
-        for (id, live) in jobs {
-            if admission.seen.contains(id) {
-                continue;
-            }
-            admission.seen.insert(id.clone());
-            let spec = &live.record.spec;
-            let group = Group { team: spec.team.clone(), class: spec.class.clone() };
-            let at_s = (live.record.accepted_ms as f64 / 1000.0).min(wall_s);
-            admission.meter.arrived(
-                &group,
-                at_s,
-                work(spec, spec.tasks),
-                spec.tasks,
-                spec.estimate_s,
-            );
-            admission.urgencies.insert(group, spec.urgency);
-        }
-        self.note_capacity();
-        self.note_asks();
+        self.admission.note_arrivals(&self.mirror.jobs, wall_s);
+        self.admission.note_capacity(self.now, self.processors());
+        self.admission.note_asks(wall_s);
         if self.holds(Duty::Allot) && self.in_contact() && self.list_at.is_some() {
             self.allot();
         }
     }
 
-    fn note_asks(&mut self) {
-        let wall_s = self.wall_ms as f64 / 1000.0;
-        let admission = &mut self.admission;
-        admission.asks.clear();
-        for (group, urgency) in &admission.urgencies {
-            let rate = admission.meter.rate(group, wall_s);
-            let run_s = admission.meter.run_s(group);
-            let asks = Asks { urgency: *urgency, rate, run_s };
-            admission.asks.entry(group.team.clone()).or_default().push(asks);
-        }
-    }
-
     /// Teams of which long work waits, and what that may hold: it leaves room for what comes. And of
     /// each such team the jobs whose turn it is: those that fit into its room together, begun ones
     /// first. (Six jobs each got a sixth of the room, and none of them was done for ten minutes.)
@@ -168,7 +134,8 @@
         long
     }
 
-    fn note_capacity(&mut self) {
+    /// Processors of the machines that take work and are heard of.
+    fn processors(&self) -> f64 {
         let mut capacity = 0.0;
         for m in self.fleet.machines.values() {
             let heard = m.heard().is_none_or(|at| self.now.since(at) < self.cfg.lease_ms);
@@ -176,11 +143,7 @@
                 capacity += self.fleet.total(&m.pool.machine_type).cpus as f64 / 1000.0;
             }
         }
-        let history = &mut self.admission.capacity;
-        history.push_back((self.now, capacity));
-        while history.front().is_some_and(|h| self.now.since(h.0) > SETTLED_MS + LOOK_MS) {
-            history.pop_front();
-        }
+        capacity
     }
 
     fn view(&self) -> View {
--- a/crates/cleatfold-control/src/state/admission.rs
+++ b/crates/cleatfold-control/src/state/admission.rs
@@ -7,24 +7,68 @@
 use cleatfold_wire::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// Between two measurements, in milliseconds.
+pub(crate) const LOOK_MS: u64 = 1000;
+/// The number of machines counts as settled when it has not grown for so long.
+pub(crate) const SETTLED_MS: u64 = 20_000;
+
 /// The measurements from which the shares under overload are decided.
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
     pub meter: Meter,
     pub judge: Judge,
     /// Jobs that are in the meter.
-    pub seen: BTreeSet<JobId>,
+    seen: BTreeSet<JobId>,
     pub looked: Ms,
     pub written: Ms,
     pub inflight: bool,
     /// Processors there were, over the last moments.
     pub capacity: VecDeque<(Ms, f64)>,
     /// How urgent each group's jobs are, as the last one was.
-    pub urgencies: BTreeMap<Group, Urgency>,
+    urgencies: BTreeMap<Group, Urgency>,
     /// What each team asks for, by urgency.
     pub asks: BTreeMap<TeamId, Vec<Asks<Urgency>>>,
 }
 
+impl Admission {
+    /// Measures the jobs that have come since, at `wall_s` by the time of day.
+    pub fn note_arrivals(&mut self, jobs: &BTreeMap<JobId, Live>, wall_s: f64) {
+        self.seen.retain(|id| jobs.contains_key(id));
+        for (id, live) in jobs {
+            if self.seen.contains(id) {
+                continue;
+            }
+            self.seen.insert(id.clone());
+            let spec = &live.record.spec;
+            let group = Group { team: spec.team.clone(), class: spec.class.clone() };
+            let at_s = (live.record.accepted_ms as f64 / 1000.0).min(wall_s);
+            let work = work(spec, spec.tasks);
+            self.meter.arrived(&group, at_s, work, spec.tasks, spec.estimate_s);
+            self.urgencies.insert(group, spec.urgency);
+        }
+    }
+
+    /// So many processors are there now.
+    pub fn note_capacity(&mut self, now: Ms, processors: f64) {
+        let history = &mut self.capacity;
+        history.push_back((now, processors));
+        while history.front().is_some_and(|h| now.since(h.0) > SETTLED_MS + LOOK_MS) {
+            history.pop_front();
+        }
+    }
+
+    /// Works out what each team asks for by what was measured.
+    pub fn note_asks(&mut self, wall_s: f64) {
+        self.asks.clear();
+        for (group, urgency) in &self.urgencies {
+            let rate = self.meter.rate(group, wall_s);
+            let run_s = self.meter.run_s(group);
+            let asks = Asks { urgency: *urgency, rate, run_s };
+            self.asks.entry(group.team.clone()).or_default().push(asks);
+        }
+    }
+}
+
 /// Work that runs long beside what others ask for.
 #[derive(Debug, Default)]
 pub(crate) struct LongWork {
