The teams' logs of losses decide without the controller

Which logs are ours, when they are read, what they contain and when they forget are methods of state::losses::Losses and Log, whose lists of what is known are private again. No change of behaviour.

--- a/crates/cleatfold-control/src/losses.rs
+++ b/crates/cleatfold-control/src/losses.rs
@@ -9,7 +9,6 @@
 use crate::effects::*;
 use crate::node::{Node, Pending};
 use crate::records::*;
-use crate::state::losses::{Log, KNOWN};
 use cleatfold_wire::losses::{Loss, TeamLosses};
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
@@ -29,20 +28,12 @@
 impl Node {
     /// Whose logs are ours to write, and under which token.
     pub(crate) fn note_logs(&mut self, mine: &BTreeMap<TeamId, Version>) {
-        self.losses.logs.retain(|team, log| mine.get(team) == Some(&log.token));
-        for (team, token) in mine {
-            if !self.losses.logs.contains_key(team) {
-                let log = Log { token: *token, ..Log::default() };
-                self.losses.logs.insert(team.clone(), log);
-            }
-        }
+        self.losses.own(mine);
     }
 
     /// Now and then, once we serve.
     pub(crate) fn keep_losses(&mut self) {
-        if self.losses.logs.values().any(|l| !l.read) && !self.losses.reading {
-            self.losses.reading = true;
-            self.losses.logs.values_mut().for_each(|l| l.asked = true);
+        if self.losses.begin_reading() {
             let from = Version(self.mirror.applied.0.saturating_sub(BACK));
             let request = StoreRequest::Changes { prefix: LOSS_LOG.into(), from };
             self.store(Lane::Poll, request, Pending::LossLog);
@@ -60,25 +51,19 @@
             self.losses.looked = now;
             for id in &self.mirror.lossy {
                 let Some(live) = self.mirror.jobs.get(id) else { continue };
-                let log = self.losses.logs.get_mut(&live.record.spec.team);
-                let Some(log) = log.filter(|l| l.read) else { continue };
+                let Some(log) = self.losses.log(&live.record.spec.team) else { continue };
                 for table in self.mirror.tables(id) {
                     log.find(now, id, &table.losses);
                 }
             }
-            for log in self.losses.logs.values_mut() {
-                if log.known.len() >= KNOWN && log.waiting.is_empty() {
-                    // All of it is in the log. What is found again is told again.
-                    log.known.clear();
-                }
-            }
+            self.losses.forget_written();
         }
         self.write_losses();
     }
 
     /// An ended job's losses, as its archive record has them.
     pub(crate) fn find_ended_losses(&mut self, job: &JobId, archive: &ArchiveRecord) {
-        if let Some(log) = self.losses.logs.get_mut(&archive.team).filter(|l| l.read) {
+        if let Some(log) = self.losses.log(&archive.team) {
             log.find(self.now, job, &archive.losses);
         }
     }
@@ -113,27 +98,12 @@
     }
 
     pub(crate) fn on_loss_log(&mut self, reply: StoreReply) {
-        self.losses.reading = false;
-        let events = match reply {
-            StoreReply::Events(events) => events.events,
+        match reply {
+            StoreReply::Events(events) => self.losses.note_read(&events.events),
             // What stands in the records now is told again.
-            StoreReply::TooOld => vec![],
-            _ => return,
-        };
-        for event in &events {
-            let value = event.value.as_ref().filter(|_| event.put.is_some());
-            let group = value.and_then(|v| serde_json::from_str::<Vec<Loss>>(v.get()).ok());
-            let key = event.put.as_deref().and_then(|k| k.strip_prefix(LOSS_LOG));
-            let team = key.and_then(|k| k.rsplit_once('/')).map(|(team, _)| TeamId::new(team));
-            let log = team.and_then(|team| self.losses.logs.get_mut(&team));
-            if let (Some(log), Some(group)) = (log, group) {
-                log.note_logged(&group);
-            }
-        }
-        for log in self.losses.logs.values_mut().filter(|l| l.asked) {
-            log.read = true;
+            StoreReply::TooOld => self.losses.note_read(&[]),
+            _ => self.losses.reading = false,
         }
-        self.losses.back = true;
     }
 
     pub(crate) fn on_loss_group(
