The tasks that were told to leave keep their own lists

The places on their way are a struct in place of a tuple, and noting, expecting and repeating a stop are methods of state::stops::Stops, whose fields are private again. No change of behaviour.

--- a/crates/cleatfold-control/src/shrink.rs
+++ b/crates/cleatfold-control/src/shrink.rs
@@ -23,8 +23,6 @@
 /// From a stop to the next task at work there, without what the stop itself takes: the exit's
 /// report, the claim and the answer that orders it.
 const CHANGE_MS: u64 = 900;
-/// A stop that is not over so long after it should be is repeated without grace.
-const OVERDUE_MS: u64 = 1500;
 /// A job that gave way looks for more machines again only after so long.
 const GROW_AGAIN_MS: u64 = 4000;
 /// A task that was stopped is left alone until it has run for so long, times its stops.
@@ -325,7 +323,7 @@
             stop: leaving.into_iter().map(|l| l.0).collect(),
         };
         let until = now.plus(last + CHANGE_MS);
-        self.stops.rooms.push((job, plan.pool.clone(), room.tasks, until));
+        self.stops.expect(job, plan.pool.clone(), room.tasks, until);
         // Members give way to everything, and grow behind everything: their places can't go back to
         // them. What is preempted could take its place again from a successor that knows nothing of it.
         if preempts {
@@ -345,7 +343,7 @@
             let grace_s = room.grace_ms as f64 / 1000.0;
             let until = self.now.plus(room.grace_ms + CHANGE_MS / 2);
             let stop = Stop { attempt, until, grace_s };
-            self.stops.tasks.entry(id.clone()).or_default().insert((job.clone(), ix), stop);
+            self.stops.insert(&id, &job, ix, stop);
             let now = self.now;
             let local = self.local(&job);
             if elastic {
@@ -370,13 +368,7 @@
     /// What the answer to a report says to a task that is to leave: told once more, for direct
     /// orders may be lost, and in the end without grace.
     pub(crate) fn stop_for_room(&self, id: &MachineId, t: &TaskReport) -> Option<Command> {
-        let stop = self.stops.get(id, &t.task.job, t.task.ix)?;
-        if stop.attempt != t.attempt {
-            return None;
-        }
-        let overdue = self.now.since(stop.until) > OVERDUE_MS;
-        let grace_s = if overdue { 0.0 } else { stop.grace_s };
-        Some(Command::Stop { task: t.task.clone(), attempt: t.attempt, grace_s })
+        self.stops.repeat(id, t, self.now)
     }
 
     /// A worker has executed direct orders: the exits in its answer are facts. Nothing else is
--- a/crates/cleatfold-control/src/state/stops.rs
+++ b/crates/cleatfold-control/src/state/stops.rs
@@ -1,12 +1,16 @@
 //! Tasks that were told to leave, so that others get their places.
 
 use crate::mirror::MachineClaims;
+use cleatfold_wire::worker::{Command, TaskReport};
 use cleatfold_wire::*;
 use std::collections::BTreeMap;
 
 /// How long a member may go on with its step when its place is wanted, in milliseconds.
 pub(crate) const YIELD_MS: u64 = 2500;
 
+/// A stop that is not over so long after it should be is repeated without grace.
+const OVERDUE_MS: u64 = 1500;
+
 /// One task that was told to leave.
 #[derive(Clone, Debug)]
 pub(crate) struct Stop {
@@ -19,9 +23,18 @@
 /// Tasks of our machines that are told to leave, and for whom.
 #[derive(Debug, Default)]
 pub(crate) struct Stops {
-    pub tasks: BTreeMap<MachineId, BTreeMap<(JobId, TaskIx), Stop>>,
-    /// Places on their way: for which job, in which pool, how many, until when.
-    pub rooms: Vec<(JobId, PoolId, u32, Ms)>,
+    tasks: BTreeMap<MachineId, BTreeMap<(JobId, TaskIx), Stop>>,
+    coming: Vec<ComingPlaces>,
+}
+
+/// Places that are on their way.
+#[derive(Debug)]
+struct ComingPlaces {
+    job: JobId,
+    pool: PoolId,
+    tasks: u32,
+    /// Not expected any more after this.
+    until: Ms,
 }
 
 impl Stops {
@@ -30,6 +43,11 @@
         self.tasks.get(machine)?.get(&(job.clone(), ix))
     }
 
+    pub fn insert(&mut self, machine: &MachineId, job: &JobId, ix: TaskIx, stop: Stop) {
+        self.tasks.entry(machine.clone()).or_default().insert((job.clone(), ix), stop);
+    }
+
+    /// Whether any task of the machine is to leave.
     pub fn any(&self, machine: &MachineId) -> bool {
         self.tasks.contains_key(machine)
     }
@@ -43,13 +61,31 @@
         }
     }
 
+    /// So many places of a job will come free in a pool.
+    pub fn expect(&mut self, job: JobId, pool: PoolId, tasks: u32, until: Ms) {
+        self.coming.push(ComingPlaces { job, pool, tasks, until });
+    }
+
+    /// How many places of a job are on their way in a pool.
     pub fn coming(&self, job: &JobId, pool: &PoolId) -> u32 {
-        self.rooms.iter().filter(|r| r.0 == *job && r.1 == *pool).map(|r| r.2).sum()
+        let coming = self.coming.iter().filter(|c| c.job == *job && c.pool == *pool);
+        coming.map(|c| c.tasks).sum()
+    }
+
+    /// The command that tells a task once more, in the end without grace, to leave.
+    pub fn repeat(&self, machine: &MachineId, task: &TaskReport, now: Ms) -> Option<Command> {
+        let stop = self.get(machine, &task.task.job, task.task.ix)?;
+        if stop.attempt != task.attempt {
+            return None;
+        }
+        let overdue = now.since(stop.until) > OVERDUE_MS;
+        let grace_s = if overdue { 0.0 } else { stop.grace_s };
+        Some(Command::Stop { task: task.task.clone(), attempt: task.attempt, grace_s })
     }
 
     /// Forgets what is over: a claim that ended otherwise, a place long there.
     pub fn prune(&mut self, now: Ms, claims: &BTreeMap<MachineId, MachineClaims>) {
-        self.rooms.retain(|r| r.3 > now);
+        self.coming.retain(|c| c.until > now);
         self.tasks.retain(|machine, tasks| {
             let on = claims.get(machine);
             tasks.retain(|task, stop| {
