--- a/crates/cleatfold-control/src/state/teams.rs
+++ b/crates/cleatfold-control/src/state/teams.rs
@@ -4,6 +4,11 @@
 use cleatfold_wire::*;
 use std::collections::BTreeMap;
 
+/// Questions of one team that wait at a time; a team that asks more is told to come back.
+const QUESTIONS: usize = 64;
+/// How long a question waits for its answer, in milliseconds.
+const WAIT_MS: u64 = 4000;
+
 /// A team's question that waits for a reading.
 #[derive(Debug)]
 pub(crate) struct Question {
@@ -24,6 +29,22 @@
     pub ranks: (Ms, BTreeMap<JobId, u32>),
 }
 
+impl Teams {
+    /// Whether as many questions of the team wait as may.
+    pub fn is_full(&self, team: &TeamId) -> bool {
+        self.waiting.iter().filter(|question| question.team == *team).count() >= QUESTIONS
+    }
+
+    /// Takes out the questions that have waited too long, or all if the state service is away.
+    pub fn take_late(&mut self, now: Ms, away: bool) -> Vec<u64> {
+        let is_late = |question: &Question| away || now.since(question.arrived) > WAIT_MS;
+        let (late, waiting): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.waiting).into_iter().partition(is_late);
+        self.waiting = waiting;
+        late.into_iter().map(|question| question.rid).collect()
+    }
+}
+
 /// A history that is being read.
 #[derive(Debug)]
 pub(crate) struct Turning {
--- a/crates/cleatfold-control/src/teams.rs
+++ b/crates/cleatfold-control/src/teams.rs
@@ -16,10 +16,6 @@
 use cleatfold_workspace::GROUP_MOST;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Questions of one team that wait at a time: who asks more is told to come back, and only he.
-const MOST: usize = 64;
-/// How long one waits for its answer.
-const WAIT_MS: u64 = 4000;
 /// The order of the queue is worked out at most so often.
 const ORDER_MS: u64 = 1000;
 /// Groups of a history that are read at once.
@@ -33,7 +29,7 @@
         if self.store_away() {
             return self.reply(rid, Response::later("the state service does not answer"));
         }
-        if self.teams.waiting.iter().filter(|q| q.team == team).count() >= MOST {
+        if self.teams.is_full(&team) {
             return self.reply(rid, Response::later("too many such questions"));
         }
         let question = Question { rid, team, what, since, arrived: self.now, upto: None };
@@ -43,13 +39,7 @@
     }
 
     pub(crate) fn late_questions(&mut self, away: bool) -> Vec<u64> {
-        let now = self.now;
-        let (late, waiting) = std::mem::take(&mut self.teams.waiting)
-            .into_iter()
-            .partition(|q| away || now.since(q.arrived) > WAIT_MS);
-        self.teams.waiting = waiting;
-        let late: Vec<Question> = late;
-        late.into_iter().map(|q| q.rid).collect()
+        self.teams.take_late(self.now, away)
     }
 
     /// A reading sent at `sent` is in (none: more is known of what has ended).
