What images a machine has is told without the controller

images_there and note_ran are methods of state::image_distribution::ImageDistribution, which take the machines and the jobs; what ran on each machine is private again. No change of behaviour.

--- a/crates/cleatfold-control/src/state/image_distribution.rs
+++ b/crates/cleatfold-control/src/state/image_distribution.rs
@@ -1,7 +1,10 @@
 //! The distribution of images that many machines want at once, as one controller keeps it.
 
+use crate::fleet::Machine;
+use crate::mirror::Live;
 use cleatfold_weights::ImageDistributor;
-use cleatfold_wire::{ImageId, MachineId, Ms, Session};
+use cleatfold_wire::worker::TaskState;
+use cleatfold_wire::{ImageId, JobId, MachineId, Ms, Session};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Which machine fetches which image from where, and the changes to its records that are on their way.
@@ -16,7 +19,7 @@
     pub holders_at: Ms,
     pub holders_inflight: bool,
     /// What was seen running in a machine's present session, so that its image is there.
-    pub ran: BTreeMap<MachineId, (Session, BTreeSet<ImageId>)>,
+    ran: BTreeMap<MachineId, (Session, BTreeSet<ImageId>)>,
     /// Machines with the last copy of something in use.
     pub last: BTreeSet<MachineId>,
 }
@@ -26,4 +29,39 @@
     pub fn needs(&self, id: &MachineId) -> bool {
         self.distributor.serves(id) || self.last.contains(id)
     }
+
+    /// What is on a machine for certain. A worker that lists its images is believed; of another we
+    /// know what runs, and what ran in this session and was not pushed out since.
+    pub fn images_there(&self, id: &MachineId, machine: &Machine) -> BTreeMap<ImageId, f64> {
+        let Some(report) = &machine.report else { return BTreeMap::new() };
+        if let Some(held) = &report.images {
+            return held.iter().map(|i| (i.image.clone(), i.part)).collect();
+        }
+        let ran = self.ran.get(id).filter(|r| r.0 == report.session);
+        let kept = |i: &&ImageId| machine.images.iter().any(|m| m.0 == **i);
+        let ran = ran.into_iter().flat_map(|r| r.1.iter()).filter(kept);
+        ran.map(|image| (image.clone(), 1.0)).collect()
+    }
+
+    /// Notes the images of what runs by the machines' newest reports.
+    pub fn note_ran(
+        &mut self,
+        machines: &BTreeMap<MachineId, Machine>,
+        jobs: &BTreeMap<JobId, Live>,
+    ) {
+        self.ran.retain(|id, _| machines.contains_key(id));
+        for (id, machine) in machines {
+            let Some(report) = &machine.report else { continue };
+            let running = report.tasks.iter().filter(|t| t.state == TaskState::Running);
+            for task in running {
+                let Some(live) = jobs.get(&task.task.job) else { continue };
+                let fresh = || (report.session, BTreeSet::new());
+                let ran = self.ran.entry(id.clone()).or_insert_with(fresh);
+                if ran.0 != report.session {
+                    *ran = fresh();
+                }
+                ran.1.insert(live.record.spec.image.clone());
+            }
+        }
+    }
 }
--- a/crates/cleatfold-control/src/weights.rs
+++ b/crates/cleatfold-control/src/weights.rs
@@ -2,7 +2,6 @@
 //! becomes of its decisions, and the two records.
 
 use crate::effects::*;
-use crate::fleet::Machine;
 use crate::node::{Node, Pending};
 use crate::records::*;
 use cleatfold_weights::{Seen, Settings, Turn, View, Want};
@@ -29,7 +28,7 @@
             return;
         }
         self.image_distribution.looked = self.now;
-        self.note_ran();
+        self.image_distribution.note_ran(&self.fleet.machines, &self.mirror.jobs);
         let (wants, in_use) = self.wants(&settings);
         let seen = self.seen(&settings);
         self.keep_holders(&wants, &seen);
@@ -154,7 +153,7 @@
                     pool: machine.pool.clone(),
                     at: report.at,
                     endpoint: machine.endpoint.clone().filter(|_| report.images.is_some()),
-                    images: self.images_there(id, machine),
+                    images: self.image_distribution.images_there(id, machine),
                     fetching,
                     stuck: Node::is_stuck(&report.images),
                     source: held().find_map(|i| i.source.clone()),
@@ -170,37 +169,6 @@
         images.iter().flatten().any(|i| i.stuck)
     }
 
-    /// What is on a machine for certain. A worker that lists its images is believed; of another we
-    /// know what runs, and what ran in this session and was not pushed out since.
-    fn images_there(&self, id: &MachineId, machine: &Machine) -> BTreeMap<ImageId, f64> {
-        let Some(report) = &machine.report else { return BTreeMap::new() };
-        if let Some(held) = &report.images {
-            return held.iter().map(|i| (i.image.clone(), i.part)).collect();
-        }
-        let ran = self.image_distribution.ran.get(id).filter(|r| r.0 == report.session);
-        let kept = |i: &&ImageId| machine.images.iter().any(|m| m.0 == **i);
-        let ran = ran.into_iter().flat_map(|r| r.1.iter()).filter(kept);
-        ran.map(|image| (image.clone(), 1.0)).collect()
-    }
-
-    fn note_ran(&mut self) {
-        let machines = &self.fleet.machines;
-        self.image_distribution.ran.retain(|id, _| machines.contains_key(id));
-        for (id, machine) in machines {
-            let Some(report) = &machine.report else { continue };
-            let running = report.tasks.iter().filter(|t| t.state == TaskState::Running);
-            for task in running {
-                let Some(live) = self.mirror.jobs.get(&task.task.job) else { continue };
-                let fresh = || (report.session, BTreeSet::new());
-                let ran = self.image_distribution.ran.entry(id.clone()).or_insert_with(fresh);
-                if ran.0 != report.session {
-                    *ran = fresh();
-                }
-                ran.1.insert(live.record.spec.image.clone());
-            }
-        }
-    }
-
     /// Whether a claim's machine may be told to start, and where from it fetches what is not there
     /// (nothing: from the origin). None: its turn has not come.
     pub(crate) fn fetch_turn(&self, id: &MachineId, job: &JobId) -> Option<Vec<String>> {
@@ -211,7 +179,8 @@
             return Some(vec![]);
         }
         let machine = self.fleet.machines.get(id)?;
-        if self.images_there(id, machine).get(&spec.image).is_some_and(|part| *part >= 1.0) {
+        let there = self.image_distribution.images_there(id, machine);
+        if there.get(&spec.image).is_some_and(|part| *part >= 1.0) {
             return Some(vec![]);
         }
         match self.image_distribution.distributor.turn(id, &spec.image)? {
