--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod duties;
 pub mod effects;
 mod entitled;
+mod event_number;
 mod fault_attribution;
 mod fleet;
 mod format;
--- a/crates/cleatfold-control/src/pending.rs
+++ b/crates/cleatfold-control/src/pending.rs
@@ -1,5 +1,6 @@
 //! What waits for an answer: our calls to the services, and those who asked us.
 
+pub(crate) use crate::event_number::EventNumber;
 use crate::jobs::JobTx;
 use crate::records::*;
 use cleatfold_duties::Duty;
@@ -14,6 +15,7 @@
 pub(crate) enum Pending {
     Sync {
         sent: Ms,
+        sent_at: EventNumber,
     },
     Load {
         sent: Ms,
@@ -113,6 +115,8 @@
     pub rid: u64,
     pub job: JobId,
     pub arrived: Ms,
+    /// The event that brought it: only a reading that was sent at this one or later answers it.
+    pub arrived_at: EventNumber,
     pub kind: Wait,
 }
 
--- a/crates/cleatfold-control/src/state/teams.rs
+++ b/crates/cleatfold-control/src/state/teams.rs
@@ -1,6 +1,7 @@
 //! What teams have asked of their workspaces and is not answered yet.
 
 use crate::effects::TeamAsk;
+use crate::event_number::EventNumber;
 use cleatfold_wire::*;
 use std::collections::BTreeMap;
 
@@ -17,6 +18,8 @@
     pub what: TeamAsk,
     pub since: u64,
     pub arrived: Ms,
+    /// The event that brought it.
+    pub arrived_at: EventNumber,
     /// What must have been read of the archive: all that had ended by the reading that counts for it.
     pub upto: Option<u64>,
 }
--- a/crates/cleatfold-control/src/teams.rs
+++ b/crates/cleatfold-control/src/teams.rs
@@ -6,7 +6,7 @@
 
 use crate::effects::*;
 use crate::mirror::Live;
-use crate::node::{Node, Pending};
+use crate::node::{EventNumber, Node, Pending};
 use crate::records::*;
 use crate::state::teams::{Question, Turning};
 use crate::state::workspaces::read_group;
@@ -32,7 +32,8 @@
         if self.teams.is_full(&team) {
             return self.reply(rid, Response::later("too many such questions"));
         }
-        let question = Question { rid, team, what, since, arrived: self.now, upto: None };
+        let (arrived, arrived_at) = (self.now, self.event);
+        let question = Question { rid, team, what, since, arrived, arrived_at, upto: None };
         self.teams.waiting.push(question);
         self.want_sync = true;
         self.sync_if_due();
@@ -42,8 +43,8 @@
         self.teams.take_late(self.now, away)
     }
 
-    /// A reading sent at `sent` is in (none: more is known of what has ended).
-    pub(crate) fn answer_teams(&mut self, sent: Option<Ms>) {
+    /// A reading sent at event `sent_at` is in (none: more is known of what has ended).
+    pub(crate) fn answer_teams(&mut self, sent_at: Option<EventNumber>) {
         if self.teams.waiting.is_empty() {
             return;
         }
@@ -51,7 +52,7 @@
         let read = self.workspaces.ended.to();
         let mut behind = false;
         for mut question in std::mem::take(&mut self.teams.waiting) {
-            if question.upto.is_none() && sent.is_some_and(|s| question.arrived <= s) {
+            if question.upto.is_none() && sent_at.is_some_and(|s| question.arrived_at <= s) {
                 question.upto = Some(applied);
             }
             match (question.upto, question.what) {
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -3,11 +3,13 @@
 //!
 //! Time is simulated and all luck is seeded: a seed always plays the same day.
 
+mod answers;
 mod blinks;
 mod drawn;
 mod insistent;
 mod lanes;
 mod late;
+mod leaders;
 mod look;
 mod meetings;
 mod moments;
@@ -15,12 +17,14 @@
 mod services;
 mod size;
 mod sizes;
+mod small_jobs;
 mod troubles;
 mod users;
 mod watch;
 mod weights;
 mod workers;
 
+pub use answers::Look;
 pub use blinks::{Back, Blink, Moment, Step, Who};
 pub use drawn::{Aim, Trouble};
 pub use late::Purpose;
@@ -101,6 +105,13 @@
         tokens: BTreeMap<PoolId, Option<Version>>,
         until: Ms,
     },
+    /// Whoever leads ends, so many times more until then.
+    LeaderEnds {
+        left: u32,
+        until: Ms,
+    },
+    /// Users of one-task jobs.
+    SmallJobs,
     Cut {
         node: usize,
         until: Ms,
@@ -123,6 +134,14 @@
     Copy(usize, Box<Report>),
     /// A user asks about a job that it has submitted.
     Asks(JobId),
+    /// A user does something about a job that has just changed.
+    Looks {
+        node: usize,
+        job: JobId,
+        what: Look,
+    },
+    /// One of the odd requests.
+    Odd,
     /// A worker may have something to do by itself.
     Wake(MachineId),
     MemberAsks {
@@ -267,7 +286,10 @@
     pub meetings: meetings::Meetings,
     pub moments: moments::Moments,
     pub late: late::Late,
+    pub leaders: leaders::Leaders,
+    pub small: small_jobs::SmallJobs,
     pub insistent: insistent::Insistent,
+    pub answers: answers::Answers,
 }
 
 impl World {
@@ -341,7 +363,10 @@
             meetings: Default::default(),
             moments: Default::default(),
             late: Default::default(),
+            leaders: Default::default(),
+            small: Default::default(),
             insistent: Default::default(),
+            answers: Default::default(),
         };
         for i in 0..size.nodes {
             world.at(10 + i as u64, Happens::Tick(i));
@@ -413,6 +438,7 @@
                     }
                     let (there, back) = self.lateness(&request);
                     delay += there;
+                    let lost = lost || self.answer_lost(&request);
                     let answered = !lost && delay + back <= meetings::STORE_MS;
                     if !answered {
                         let reply = match request {
@@ -571,8 +597,11 @@
             Happens::Blink(i) => self.blink_node(i),
             Happens::Thaw(i, life) => self.thaw(i, life),
             Happens::Restart(i) if self.nodes[i].is_some() => {}
+            Happens::Restart(i) if self.stays_away(i) => {}
             Happens::Restart(i) => self.nodes[i] = Some(Node::new(config(i, self.size))),
             Happens::Ends { node, back_ms } => self.crash(node, back_ms),
+            Happens::LeaderEnds { left, until } => self.leader_ends(left, until),
+            Happens::SmallJobs => self.small_jobs_go_on(),
             Happens::OnceMoved { node, tokens, until } => self.once_moved(node, tokens, until),
             Happens::Cut { node, until } => self.cut[node] = self.cut[node].max(until),
             Happens::StoreCut { node, until } => self.store_cut[node] = until,
@@ -596,6 +625,8 @@
             Happens::Insists => self.insists(),
             Happens::Copy(node, report) => self.copy_arrives(node, *report),
             Happens::Asks(job) => self.asks(job),
+            Happens::Looks { node, job, what } => self.looks(node, job, what),
+            Happens::Odd => self.odd(),
             Happens::MemberAsks { node, machine, key, number, report } => {
                 if self.nodes[node].is_none() {
                     return;
--- a/crates/cleatfold-lab/src/world/drawn.rs
+++ b/crates/cleatfold-lab/src/world/drawn.rs
@@ -51,6 +51,20 @@
     OverAndBack,
     /// All controllers end and one alone is back soon.
     AllButOne,
+    /// Users ask at all controllers within milliseconds after a job was accepted, has ended or was cancelled.
+    CloseLooks,
+    /// A share of transactions is carried out at once, and only the answer is lost.
+    AnswersLost,
+    /// Users cancel a share of jobs as their last tasks end.
+    CancelAtEnd,
+    /// Users repeat submissions, cancel what is done, and submit what can't run or lacks a field.
+    OddRequests,
+    /// Whoever leads ends, up to ten times, each back within seconds.
+    TenLeaders,
+    /// All controllers are away for longer than the workers' lease, and come back one by one or together.
+    AllAway,
+    /// One-task jobs come four a second, and a quarter of them are cancelled.
+    SmallJobs,
 }
 
 /// Which controller the second of two troubles befalls.
@@ -99,6 +113,13 @@
         Trouble::HeldOrders,
         Trouble::OverAndBack,
         Trouble::AllButOne,
+        Trouble::CloseLooks,
+        Trouble::AnswersLost,
+        Trouble::CancelAtEnd,
+        Trouble::OddRequests,
+        Trouble::TenLeaders,
+        Trouble::AllAway,
+        Trouble::SmallJobs,
     ];
 
     /// Lasts less than so long, where it does not say itself.
@@ -107,6 +128,7 @@
             Trouble::Outage => 20_000,
             Trouble::Freeze => 25_000,
             Trouble::Deaf | Trouble::DeafMany | Trouble::Copies => 60_000,
+            Trouble::TenLeaders => 120_000,
             _ => 45_000,
         }
     }
@@ -186,6 +208,15 @@
                 | Trouble::AllButOne,
                 _,
             ) => self.meeting(kind, node, until),
+            (
+                Trouble::CloseLooks
+                | Trouble::AnswersLost
+                | Trouble::CancelAtEnd
+                | Trouble::OddRequests,
+                _,
+            ) => self.answers_trouble(kind, until),
+            (Trouble::TenLeaders | Trouble::AllAway, _) => self.leader_trouble(kind, until),
+            (Trouble::SmallJobs, _) => self.small_jobs(until),
             (_, None) => {}
             (Trouble::Die, Some(machine)) => self.happen(Happens::Die(machine)),
             (Trouble::Hiccup, Some(machine)) => self.hiccup(&machine),
