What is kept about a job beside its record imports no controller

End, Wish, Local, JobTx, Outcome and part_of move from jobs.rs to state::jobs, which Node, Pending, news, schedule and others import. No change of behaviour.

--- a/crates/cleatfold-control/src/fault_attribution.rs
+++ b/crates/cleatfold-control/src/fault_attribution.rs
@@ -1,8 +1,8 @@
 //! Failed tasks: what the records and the machines' owners know of them, as `cleatfold_blame` judges.
 
-use crate::jobs::Local;
 use crate::mirror::Live;
 use crate::node::Node;
+use crate::state::jobs::Local;
 use cleatfold_blame::{pause_ms, standing, Evidence, Failure, Standing};
 use cleatfold_wire::job::{JobState, Kind};
 use cleatfold_wire::*;
--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -5,126 +5,19 @@
 //! shows what stands. Until then nothing is built on it.
 
 use crate::effects::*;
-use crate::node::{EventNumber, Node, Pending};
+use crate::node::{Node, Pending};
 use crate::records::*;
-use crate::state::steps::{judge, Asked, Judged};
+use crate::state::jobs::{part_of, End, JobTx, Local, Outcome};
+use crate::state::steps::{judge, Judged};
 use cleatfold_elastic::Verdict;
 use cleatfold_ledger::{claim_order, Selection};
 use cleatfold_wire::job::{JobState, Kind};
-use cleatfold_wire::losses::LossCause;
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::worker::Exit;
 use cleatfold_wire::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A claim that is over, with proof.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct End {
-    pub machine: MachineId,
-    pub ix: TaskIx,
-    pub attempt: Attempt,
-    pub done: bool,
-    pub why: &'static str,
-    /// How long it ran, as far as we saw.
-    pub ran_ms: u64,
-    /// The proof holds only while the pool is ours under this token. An exit and a deletion
-    /// are facts for ever; an absence or a lease that ran out are not: after a take-over the
-    /// new owner may have heard the worker and renewed its lease, and our transaction may be
-    /// applied minutes late.
-    pub fence: Option<(PoolId, Token)>,
-}
-
-impl End {
-    /// Whether a start was lost, and how: what a team wants to hear of.
-    fn loss(&self) -> Option<LossCause> {
-        match self.why {
-            _ if self.done => None,
-            "machine deleted" => Some(LossCause::Machine),
-            "lease ran out" => Some(LossCause::Lease),
-            "not there after take-over" => Some(LossCause::Vanished),
-            "error" => Some(LossCause::Failed),
-            // Stopped on purpose, or never begun.
-            _ => None,
-        }
-    }
-}
-
-/// Tasks to be claimed for one machine.
-#[derive(Clone, Debug)]
-pub(crate) struct Wish {
-    pub machine: MachineId,
-    pub pool: PoolId,
-    pub token: Token,
-    pub tasks: u32,
-}
-
-/// What this node keeps about a job beside its record.
-#[derive(Debug, Default)]
-pub(crate) struct Local {
-    pub busy: bool,
-    /// Someone else changed it; nothing is sent before the next reading.
-    pub stale_since: Option<EventNumber>,
-    pub not_before: Ms,
-    /// Since when something of it has waited to be recorded.
-    pub unsent_since: Option<Ms>,
-    pub ends: Vec<End>,
-    pub wishes: Vec<Wish>,
-    pub abort: bool,
-    pub withdrawals: Vec<u64>,
-    pub hold_until: Ms,
-    /// Pools that the leader sent it to.
-    pub pools: Vec<PoolId>,
-    /// Time of day at which a task of it last failed here.
-    pub failed_ms: u64,
-    /// Progress that is saved, per task, in milliseconds of run time.
-    pub saved: BTreeMap<TaskIx, u64>,
-    /// Members' reports that wait to be recorded.
-    pub asked: Vec<Asked>,
-    /// All steps are finished and all members gone.
-    pub over: bool,
-    /// When a member last gave way.
-    pub shrunk: Option<Ms>,
-    /// How often tasks were stopped to make room.
-    pub stopped: BTreeMap<TaskIx, u32>,
-}
-
-impl Local {
-    pub(crate) fn is_ending(&self, ix: TaskIx, attempt: Attempt) -> bool {
-        self.ends.iter().any(|e| e.ix == ix && e.attempt == attempt)
-    }
-
-    /// Something waits to be recorded.
-    pub(crate) fn has_news(&self) -> bool {
-        self.abort
-            || self.over
-            || !(self.ends.is_empty() && self.wishes.is_empty() && self.asked.is_empty())
-    }
-}
-
-#[derive(Debug)]
-pub(crate) struct JobTx {
-    pub job: JobId,
-    pub txn: Txn,
-    /// The outcome of an earlier sending is unknown.
-    pub doubtful: bool,
-    ends: Vec<End>,
-    claims: Vec<(Wish, Vec<(TaskIx, Attempt)>)>,
-    withdrawals: Vec<u64>,
-    result: Outcome,
-    steps: Judged,
-}
-
-#[derive(Debug)]
-enum Outcome {
-    Live { aborted: bool },
-    Ended(ArchiveRecord),
-}
-
-pub(crate) fn part_of(record: &JobRecord, ix: TaskIx) -> Option<u32> {
-    record.in_parts().then_some(ix.0 / PART)
-}
-
 /// The transaction fails unless the pool is still ours.
 fn guard_pool(txn: &mut Txn, pool: &PoolId, token: Token) {
     let key = pool_key(pool);
@@ -604,14 +497,3 @@
         End { machine: machine.clone(), ix, attempt, done, why, ran_ms, fence: None }
     }
 }
-
-impl JobTx {
-    /// The claims this transaction would make: pool and number of tasks.
-    pub(crate) fn claimed(&self) -> impl Iterator<Item = (PoolId, u32)> + '_ {
-        self.claims.iter().map(|(wish, tasks)| (wish.pool.clone(), tasks.len() as u32))
-    }
-
-    pub(crate) fn names(&self, machine: &MachineId) -> bool {
-        self.claims.iter().any(|(wish, _)| wish.machine == *machine)
-    }
-}
--- a/crates/cleatfold-control/src/machines.rs
+++ b/crates/cleatfold-control/src/machines.rs
@@ -3,9 +3,9 @@
 
 use crate::effects::*;
 use crate::fleet::Machine;
-use crate::jobs::End;
 use crate::mirror::Live;
 use crate::node::{Node, Pending};
+use crate::state::jobs::End;
 use cleatfold_duties::Duty;
 use cleatfold_wire::cloud::{ListedMachine, MachineState};
 use cleatfold_wire::*;
--- a/crates/cleatfold-control/src/news.rs
+++ b/crates/cleatfold-control/src/news.rs
@@ -1,9 +1,9 @@
 //! Which job's news is recorded next.
 
 use crate::effects::*;
-use crate::jobs::{part_of, Local};
 use crate::mirror::Live;
 use crate::node::{Node, Pending};
+use crate::state::jobs::{part_of, Local};
 use cleatfold_ledger::{News, PartNews, Selection};
 use cleatfold_wire::job::Urgency;
 use cleatfold_wire::*;
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -3,10 +3,10 @@
 use crate::config::Config;
 use crate::effects::*;
 use crate::fleet::Fleet;
-use crate::jobs::Local;
 use crate::mirror::Mirror;
 use crate::records::*;
 use crate::schedule::Plans;
+use crate::state::jobs::Local;
 use cleatfold_duties::Roster;
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
--- a/crates/cleatfold-control/src/pending.rs
+++ b/crates/cleatfold-control/src/pending.rs
@@ -1,8 +1,8 @@
 //! What waits for an answer: our calls to the services, and those who asked us.
 
 pub(crate) use crate::event_number::EventNumber;
-use crate::jobs::JobTx;
 use crate::records::*;
+use crate::state::jobs::JobTx;
 use cleatfold_duties::Duty;
 use cleatfold_wire::cloud::RentRequest;
 use cleatfold_wire::job::JobSpec;
--- a/crates/cleatfold-control/src/schedule.rs
+++ b/crates/cleatfold-control/src/schedule.rs
@@ -2,11 +2,11 @@
 
 use crate::effects::Effect;
 use crate::fleet::Machine;
-use crate::jobs::{Local, Wish};
 use crate::limits::{Binding, Usage};
 use crate::mirror::Live;
 use crate::node::Node;
 use crate::queue::Queued;
+use crate::state::jobs::{Local, Wish};
 use crate::state::stops::YIELD_MS;
 use cleatfold_lanes::{believed, prompt_ms};
 use cleatfold_plan::chart::FOREVER;
--- a/crates/cleatfold-control/src/state/mod.rs
+++ b/crates/cleatfold-control/src/state/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod cancellations;
 pub(crate) mod format;
 pub(crate) mod image_distribution;
+pub(crate) mod jobs;
 pub(crate) mod lanes;
 pub(crate) mod losses;
 pub(crate) mod reach;
--- a/crates/cleatfold-control/src/workers.rs
+++ b/crates/cleatfold-control/src/workers.rs
@@ -8,8 +8,8 @@
 
 use crate::effects::*;
 use crate::fleet::{LastReport, Machine};
-use crate::jobs::End;
 use crate::node::Node;
+use crate::state::jobs::End;
 use cleatfold_wire::cloud::MachineState;
 use cleatfold_wire::worker::{Command, Exit, RawReport, Report, TaskState};
 use cleatfold_wire::*;
