--- a/crates/cleatfold-control/src/effects.rs
+++ b/crates/cleatfold-control/src/effects.rs
@@ -104,9 +104,17 @@
 }
 
 impl Response {
+    /// 503: what is asked needs the state service, which does not answer.
+    pub fn store_unavailable() -> Self {
+        Response::later("the state service does not answer")
+    }
+
+    /// 503, to be asked again soon.
     pub fn later(why: &str) -> Self {
         Response::Refusal { code: 503, why: why.into(), retry_after_s: Some(2) }
     }
+
+    /// Refused with this code, for good.
     pub fn refuse(code: u16, why: impl Into<String>) -> Self {
         Response::Refusal { code, why: why.into(), retry_after_s: None }
     }
--- a/crates/cleatfold-control/src/losses.rs
+++ b/crates/cleatfold-control/src/losses.rs
@@ -137,11 +137,8 @@
     // ---- what a team asks ----
 
     pub(crate) fn on_team_losses(&mut self, rid: u64, team: TeamId, since: u64) {
-        if self.cfg.team(&team).is_none() {
-            return self.reply(rid, Response::refuse(404, "no such team"));
-        }
-        if self.store_away() {
-            return self.reply(rid, Response::later("the state service does not answer"));
+        if let Some(refusal) = self.refuse_team(&team) {
+            return self.reply(rid, refusal);
         }
         let prefix = loss_log_prefix(&team);
         let from = since.checked_sub(1).map(|last| loss_log_key(&team, last));
@@ -154,7 +151,7 @@
 
     pub(crate) fn on_team_losses_read(&mut self, rid: u64, since: u64, reply: StoreReply) {
         let StoreReply::Page(page) = reply else {
-            return self.reply(rid, Response::later("the state service does not answer"));
+            return self.reply(rid, Response::store_unavailable());
         };
         // Whoever has heard all goes on from where he was.
         let mut told = TeamLosses { losses: Vec::new(), next: since, more: page.more };
--- a/crates/cleatfold-control/src/steps.rs
+++ b/crates/cleatfold-control/src/steps.rs
@@ -33,7 +33,7 @@
             return self.reply(rid, Response::Redirect(Some(keeper)));
         }
         if self.store_away() {
-            return self.reply(rid, Response::later("the state service does not answer"));
+            return self.reply(rid, Response::store_unavailable());
         }
         self.take_steps(rid, report, false);
     }
--- a/crates/cleatfold-control/src/teams.rs
+++ b/crates/cleatfold-control/src/teams.rs
@@ -22,12 +22,17 @@
 const GROUPS: u32 = 12;
 
 impl Node {
-    pub(crate) fn on_team(&mut self, rid: u64, team: TeamId, what: TeamAsk, since: u64) {
-        if self.cfg.team(&team).is_none() {
-            return self.reply(rid, Response::refuse(404, "no such team"));
+    /// What a team's question is answered with at once, if it cannot be answered now.
+    pub(crate) fn refuse_team(&self, team: &TeamId) -> Option<Response> {
+        if self.cfg.team(team).is_none() {
+            return Some(Response::refuse(404, "no such team"));
         }
-        if self.store_away() {
-            return self.reply(rid, Response::later("the state service does not answer"));
+        self.store_away().then(Response::store_unavailable)
+    }
+
+    pub(crate) fn on_team(&mut self, rid: u64, team: TeamId, what: TeamAsk, since: u64) {
+        if let Some(refusal) = self.refuse_team(&team) {
+            return self.reply(rid, refusal);
         }
         if self.teams.is_full(&team) {
             return self.reply(rid, Response::later("too many such questions"));
@@ -222,8 +227,7 @@
 
     pub(crate) fn on_team_history(&mut self, turning: Turning, reply: StoreReply) {
         let StoreReply::Page(page) = reply else {
-            let later = Response::later("the state service does not answer");
-            return self.reply(turning.rid, later);
+            return self.reply(turning.rid, Response::store_unavailable());
         };
         let mut paper = Paper::default();
         let mut next = turning.since;
