--- a/crates/cleatfold-control/src/state/teams.rs
+++ b/crates/cleatfold-control/src/state/teams.rs
@@ -10,6 +10,9 @@
 /// How long a question waits for its answer, in milliseconds.
 const WAIT_MS: u64 = 4000;
 
+/// The order of the queue is worked out for the teams at most so often.
+const RANKS_MS: u64 = 1000;
+
 /// A team's question that waits for a reading.
 #[derive(Debug)]
 pub(crate) struct Question {
@@ -28,8 +31,39 @@
 #[derive(Default)]
 pub(crate) struct Teams {
     pub waiting: Vec<Question>,
-    /// Which of its team's jobs is the how-manyeth in the queue's order, and when that was so.
-    pub ranks: (Ms, BTreeMap<JobId, u32>),
+    pub ranks: Ranks,
+}
+
+/// The places of each team's jobs among the team's own, in the queue's order.
+#[derive(Default)]
+pub(crate) struct Ranks {
+    /// When the queue had this order.
+    at: Ms,
+    by_job: BTreeMap<JobId, u32>,
+}
+
+impl Ranks {
+    /// Counts through the queue, of which each job comes with its team.
+    pub fn of_queue<'a>(now: Ms, queue: impl Iterator<Item = (&'a JobId, &'a TeamId)>) -> Self {
+        let mut counts: BTreeMap<&TeamId, u32> = BTreeMap::new();
+        let mut by_job = BTreeMap::new();
+        for (job, team) in queue {
+            let count = counts.entry(team).or_default();
+            *count += 1;
+            by_job.insert(job.clone(), *count);
+        }
+        Self { at: now, by_job }
+    }
+
+    /// Whether the order is to be worked out anew.
+    pub fn are_due(&self, now: Ms) -> bool {
+        now.since(self.at) >= RANKS_MS || self.by_job.is_empty()
+    }
+
+    /// The job's place among those of its team that wait; the first is 1.
+    pub fn get(&self, job: &JobId) -> Option<u32> {
+        self.by_job.get(job).copied()
+    }
 }
 
 impl Teams {
--- a/crates/cleatfold-control/src/teams.rs
+++ b/crates/cleatfold-control/src/teams.rs
@@ -8,16 +8,14 @@
 use crate::mirror::Live;
 use crate::node::{EventNumber, Node, Pending};
 use crate::records::*;
-use crate::state::teams::{Question, Turning};
+use crate::state::teams::{Question, Ranks, Turning};
 use crate::state::workspaces::read_group;
 use cleatfold_wire::team::*;
 use cleatfold_wire::*;
 use cleatfold_workspace::page::{by_place, Paper};
 use cleatfold_workspace::GROUP_MOST;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-/// The order of the queue is worked out at most so often.
-const ORDER_MS: u64 = 1000;
 /// Groups of a history that are read at once.
 const GROUPS: u32 = 12;
 
@@ -122,7 +120,7 @@
         let waits = |live: &Live| !live.record.aborted && live.unclaimed() > 0;
         let told = self.live_jobs(team, since).filter(|j| waits(j.2)).map(|(place, id, live)| {
             let spec = &live.record.spec;
-            let rank = self.teams.ranks.1.get(id).copied();
+            let rank = self.teams.ranks.get(id);
             let (holdup, why) = self.holdup(id, live, rank, full, &up);
             let job = WaitingJob {
                 place,
@@ -183,20 +181,16 @@
     }
 
     fn rank_queue(&mut self) {
-        let (at, ranks) = &self.teams.ranks;
-        if self.now.since(*at) < ORDER_MS && !ranks.is_empty() {
+        if !self.teams.ranks.are_due(self.now) {
             return;
         }
-        let mut counts: BTreeMap<&TeamId, u32> = BTreeMap::new();
-        let mut ranks = BTreeMap::new();
         let queue = self.queue();
-        for queued in queue.iter().filter(|q| !q.growth) {
-            let Some(live) = self.mirror.jobs.get(&queued.job) else { continue };
-            let count = counts.entry(&live.record.spec.team).or_default();
-            *count += 1;
-            ranks.insert(queued.job.clone(), *count);
-        }
-        self.teams.ranks = (self.now, ranks);
+        let waiting = queue.iter().filter(|queued| !queued.growth);
+        let teams = waiting.filter_map(|queued| {
+            let live = self.mirror.jobs.get(&queued.job)?;
+            Some((&queued.job, &live.record.spec.team))
+        });
+        self.teams.ranks = Ranks::of_queue(self.now, teams);
     }
 
     // ---- history ----
