--- a/crates/cleatfold-control/src/shrink.rs
+++ b/crates/cleatfold-control/src/shrink.rs
@@ -61,7 +61,7 @@
         }
         let elastic = self.mirror.any_elastic();
         for plan in plans {
-            let waits = self.waits(plan);
+            let waits = waits(plan, self.now);
             if waits.is_empty() {
                 continue;
             }
@@ -106,24 +106,6 @@
         }
     }
 
-    /// What does not start now, by request, in order.
-    fn waits(&self, plan: &PoolPlan) -> Vec<Wait> {
-        let mut waits: Vec<Wait> = Vec::new();
-        for r in &plan.reservations {
-            if r.start <= self.now || plan.growth[r.request] || plan.requests[r.request].gang {
-                continue;
-            }
-            match waits.last_mut().filter(|w| w.request == r.request) {
-                Some(wait) => {
-                    wait.tasks += r.tasks;
-                    wait.start = wait.start.min(r.start);
-                }
-                None => waits.push(Wait { request: r.request, tasks: r.tasks, start: r.start }),
-            }
-        }
-        waits
-    }
-
     /// What may be done for a job that waits, and how long a victim may take to save.
     fn need(&self, plan: &PoolPlan, wait: &Wait, within: &HashSet<JobId>) -> Option<(Need, u64)> {
         let job = &plan.jobs[wait.request];
@@ -174,17 +156,11 @@
             .max()
     }
 
-    /// The pool's part of what waits: each of the job's pools makes room for some, or all of
-    /// them would for the same tasks.
+    /// The pool's part of what waits, without the places that are on their way there.
     fn part_here(&self, plan: &PoolPlan, wait: &Wait) -> u32 {
         let job = &plan.jobs[wait.request];
         let pools = self.locals.get(job).map(|l| l.pools.as_slice()).unwrap_or_default();
-        let n = pools.len().max(1) as u64;
-        let turn = xxhash_rust::xxh3::xxh3_64(job.as_str().as_bytes()) / 2 + self.wall_ms / TURN_MS;
-        let at = pools.iter().position(|p| *p == plan.pool).unwrap_or(0) as u64;
-        let i = (at + turn) % n;
-        let tasks = u64::from(wait.tasks);
-        let part = (tasks * (i + 1) / n - tasks * i / n) as u32;
+        let part = part_of_pool(job, pools, &plan.pool, wait.tasks, self.wall_ms);
         part.saturating_sub(self.coming(job, &plan.pool))
     }
 
@@ -399,6 +375,40 @@
     }
 }
 
+/// What does not start now, by request, in order.
+fn waits(plan: &PoolPlan, now: Ms) -> Vec<Wait> {
+    let mut waits: Vec<Wait> = Vec::new();
+    for reservation in &plan.reservations {
+        let request = reservation.request;
+        if reservation.start <= now || plan.growth[request] || plan.requests[request].gang {
+            continue;
+        }
+        match waits.last_mut().filter(|wait| wait.request == request) {
+            Some(wait) => {
+                wait.tasks += reservation.tasks;
+                wait.start = wait.start.min(reservation.start);
+            }
+            None => {
+                let (tasks, start) = (reservation.tasks, reservation.start);
+                waits.push(Wait { request, tasks, start });
+            }
+        }
+    }
+    waits
+}
+
+/// How many of a job's waiting tasks a pool makes room for: each of the job's pools takes a part in turn,
+/// or all of them would make room for the same tasks.
+fn part_of_pool(job: &JobId, pools: &[PoolId], pool: &PoolId, tasks: u32, wall_ms: u64) -> u32 {
+    let parts = pools.len().max(1) as u64;
+    let turn = xxhash_rust::xxh3::xxh3_64(job.as_str().as_bytes()) / 2 + wall_ms / TURN_MS;
+    let position = pools.iter().position(|p| p == pool).unwrap_or(0) as u64;
+    let part = (position + turn) % parts;
+    let tasks = u64::from(tasks);
+    (tasks * (part + 1) / parts - tasks * part / parts) as u32
+}
+
+/// Whether what a task saves is saved within this time.
 fn saves_in_time(save_s: f64, time_ms: u64) -> bool {
     save_s * 1000.0 + 500.0 <= time_ms as f64
 }
