--- a/crates/cleatfold-control/src/steps.rs
+++ b/crates/cleatfold-control/src/steps.rs
@@ -1,7 +1,7 @@
 //! Steps of elastic jobs: members' reports to transactions and answers.
 //!
-//! A job's reports go to its *keeper*, one of the live nodes, so that they gather and do not
-//! make each other fail. Who the keeper is is a hint: any node that is asked insistently
+//! A job's reports go to its *coordinator*, one of the live nodes, so that they gather and do not
+//! make each other fail. Who coordinates a job is a hint: any node that is asked insistently
 //! decides as well. What counts is the transaction. It is guarded by the version of the job's
 //! record, which holds the members' claims, and of each part of the progress that it changes:
 //! a report of a member whose claim has ended meanwhile fails, and is judged anew.
@@ -19,18 +19,18 @@
 const COMPLETE_MS: u64 = 250;
 
 impl Node {
-    /// Rendezvous hashing over the live nodes: as few jobs as possible change their keeper when
+    /// Rendezvous hashing over the live nodes: as few jobs as possible change their coordinator when
     /// a node comes or goes, and all nodes that know the same members agree.
-    fn keeper(&self, job: &JobId) -> NodeId {
+    fn coordinator(&self, job: &JobId) -> NodeId {
         let rank = |node: &NodeId| xxhash_rust::xxh3::xxh3_64(format!("{job}@{node}").as_bytes());
         let live = self.mirror.nodes.keys();
         live.max_by_key(|n| rank(n)).cloned().unwrap_or_else(|| self.cfg.me.clone())
     }
 
     pub(crate) fn on_steps(&mut self, rid: u64, report: Box<StepReport>) {
-        let keeper = self.keeper(&report.member.job);
-        if keeper != self.cfg.me && !report.insists {
-            return self.reply(rid, Response::Redirect(Some(keeper)));
+        let coordinator = self.coordinator(&report.member.job);
+        if coordinator != self.cfg.me && !report.insists {
+            return self.reply(rid, Response::Redirect(Some(coordinator)));
         }
         if self.store_away() {
             return self.reply(rid, Response::store_unavailable());
@@ -116,7 +116,7 @@
     /// Jobs whose steps are all finished end when their last member is gone; whoever recorded that need not
     /// have known of the last step. And a cancelled job in parts is over with its last claim: two owners that
     /// ended the last ones in different parts at the same time each still saw the other's, and the job stayed
-    /// for ever. So its keeper looks.
+    /// for ever. So its coordinator looks.
     pub(crate) fn complete_jobs(&mut self) {
         if self.now.since(self.completed_at) < COMPLETE_MS {
             return;
@@ -130,7 +130,7 @@
         let cancelled = |l: &Live| l.record.aborted && l.record.in_parts() && l.claimed == 0;
         let parts = self.mirror.jobs.iter().filter(|(_, l)| cancelled(l)).map(|(id, _)| id);
         let over: Vec<JobId> =
-            steps.chain(parts).filter(|id| self.keeper(id) == self.cfg.me).cloned().collect();
+            steps.chain(parts).filter(|id| self.coordinator(id) == self.cfg.me).cloned().collect();
         for job in over {
             self.local(&job).over = true;
             self.note_unsent(&job);
