--- a/crates/cleatfold-control/src/config.rs
+++ b/crates/cleatfold-control/src/config.rs
@@ -3,6 +3,7 @@
 use cleatfold_admission::Rules;
 use cleatfold_wire::{ClassId, NodeId, TeamId, ZoneId};
 
+/// A team that submits jobs, with its guarantee and its limit.
 #[derive(Clone, Debug)]
 pub struct Team {
     pub name: TeamId,
@@ -15,6 +16,7 @@
 }
 
 impl Team {
+    /// Whether it may use only so much of anything.
     pub fn is_limited(&self) -> bool {
         self.cpus_max > 0.0 || self.gpus_max > 0.0
     }
@@ -27,6 +29,7 @@
     pub kind: AimKind,
 }
 
+/// By when a job should have started or ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum AimKind {
     /// Done within so many seconds.
@@ -37,27 +40,38 @@
     Wait(f64),
 }
 
+/// The settings of one controller. Times are in milliseconds where the name ends in `_ms`.
 #[derive(Clone, Debug)]
 pub struct Config {
+    /// This controller, and the zone that it is in.
     pub me: NodeId,
     pub zone: ZoneId,
+    /// The other controllers.
     pub peers: Vec<(NodeId, ZoneId)>,
     pub teams: Vec<Team>,
+    /// Time between two reports of a worker.
     pub report_ms: u64,
+    /// The lease of a worker: without an answer for so long a worker stops its tasks.
     pub lease_ms: u64,
+    /// All tasks of a cancelled job are gone within this time.
     pub cancel_ms: u64,
+    /// Operations of one transaction at most.
     pub txn_ops: usize,
     /// Changes a second that the state service takes from all nodes together.
     pub changes_per_s: f64,
+    /// Bytes of one record at most.
     pub value_bytes: usize,
     /// Calls a second that the cloud takes from all nodes together.
     pub cloud_calls_per_s: f64,
+    /// How far the cloud's list of machines lags behind.
     pub list_lag_ms: u64,
     /// Pools that a job is sent to.
     pub k: usize,
     /// Time between readings of the state service when nothing presses.
     pub sync_ms: u64,
+    /// How long a controller's own lease lasts without renewal.
     pub node_ttl_ms: u64,
+    /// What the operators expect of each class of jobs.
     pub aims: Vec<Aim>,
     /// Without an aim for its class, a job should start within this time.
     pub usual_wait_s: f64,
@@ -80,6 +94,7 @@
     /// Losses that a job's answer names; the team's log has more.
     pub const LOSSES_TOLD: usize = 16;
 
+    /// The team of this name, if there is one.
     pub fn team(&self, name: &TeamId) -> Option<&Team> {
         self.teams.iter().find(|t| t.name == *name)
     }
--- a/crates/cleatfold-control/src/effects.rs
+++ b/crates/cleatfold-control/src/effects.rs
@@ -1,4 +1,7 @@
-//! What goes into a node and what comes out.
+//! The controller's interface: the events that go in, and the effects that come out.
+//!
+//! An event is everything a controller is told; an effect is everything it asks to be done. The requests to the
+//! state service and the cloud and their replies are parts of both.
 
 use cleatfold_wire::cloud::{ListedMachine, MachineType, RentRequest};
 use cleatfold_wire::job::{JobSpec, JobStatus};
@@ -13,32 +16,34 @@
 /// What a user asks.
 #[derive(Clone, Debug)]
 pub enum Request {
+    /// Accept a job.
     Submit(Box<JobSpec>),
+    /// Tell a job's state.
     Poll(JobId),
+    /// Cancel a job.
     Withdraw(JobId),
+    /// Say whether this controller can serve users.
     Ready,
     /// What a team has lost, from a place in its log on.
-    TeamLosses {
-        team: TeamId,
-        since: u64,
-    },
+    TeamLosses { team: TeamId, since: u64 },
     /// What a team's workspace holds, from a place or a number on.
-    Team {
-        team: TeamId,
-        what: TeamAsk,
-        since: u64,
-    },
+    Team { team: TeamId, what: TeamAsk, since: u64 },
     /// A member of an elastic job reports.
     Steps(Box<StepReport>),
 }
 
+/// Which part of its workspace a team asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TeamAsk {
+    /// Its live jobs.
     Jobs,
+    /// Those of its jobs that wait, and what for.
     Queue,
+    /// Its ended jobs.
     History,
 }
 
+/// The part of its workspace that a team asked for.
 #[derive(Clone, Debug, PartialEq, serde::Serialize)]
 #[serde(untagged)]
 pub enum TeamAnswer {
@@ -83,12 +88,15 @@
     },
 }
 
+/// What a user or a worker is answered.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Response {
+    /// A job's state, with the code that says what came of the request.
     Status {
         code: u16,
         status: JobStatus,
     },
+    /// An error code, why, and after how many seconds to ask again, if that makes sense.
     Refusal {
         code: u16,
         why: String,
@@ -123,40 +131,43 @@
 /// Which calls to the state service go first when the rate is short.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Lane {
+    /// Leases, roles, and the reading that everything rests on.
     Renewal,
+    /// Claims, ends and cancellations.
     Claim,
+    /// Acceptances of jobs.
     Submission,
+    /// Readings for users, and writing that can wait.
     Poll,
 }
 
+/// A call to the state service.
 #[derive(Clone, Debug)]
 pub enum StoreRequest {
+    /// One key.
     Get(String),
     /// A page of the keys after `from`; none: as many as the service gives.
-    List {
-        prefix: String,
-        from: Option<String>,
-        most: Option<u32>,
-    },
+    List { prefix: String, from: Option<String>, most: Option<u32> },
+    /// Changes that are made all or not at all, if the guards hold.
     Txn(Txn),
-    Grant {
-        ttl_ms: u64,
-    },
+    /// A new lease.
+    Grant { ttl_ms: u64 },
+    /// Renewal of a lease.
     Extend(LeaseId),
     /// Everything since `from`, at once.
-    Changes {
-        prefix: String,
-        from: Version,
-    },
+    Changes { prefix: String, from: Version },
 }
 
+/// What came of a call to the state service.
 #[derive(Debug)]
 pub enum StoreReply {
     Item(Item),
     /// No such key, or no such lease.
     Missing,
     Page(Page),
+    /// The transaction is durable, at this version.
     Committed(Version),
+    /// Not executed: the guards on these keys did not hold.
     Conflict(Vec<String>),
     Granted(LeaseId),
     Extended,
@@ -171,6 +182,7 @@
     Bad(String),
 }
 
+/// A call to the cloud that machines are rented from.
 #[derive(Clone, Debug)]
 pub enum CloudRequest {
     Types,
@@ -179,6 +191,7 @@
     Delete(Vec<MachineId>),
 }
 
+/// What came of a call to the cloud.
 #[derive(Debug)]
 pub enum CloudReply {
     Types(Vec<MachineType>),
@@ -193,17 +206,14 @@
     Failed,
 }
 
+/// Something that a controller asks to be done.
 #[derive(Debug)]
 pub enum Effect {
-    Reply {
-        rid: u64,
-        response: Response,
-    },
-    Store {
-        op: u64,
-        lane: Lane,
-        request: StoreRequest,
-    },
+    /// The answer to a request or a report.
+    Reply { rid: u64, response: Response },
+    /// A call to the state service; its reply comes as an event with the same `op`.
+    Store { op: u64, lane: Lane, request: StoreRequest },
+    /// A call to the cloud; its reply comes as an event with the same `op`.
     Cloud {
         op: u64,
         request: CloudRequest,
@@ -211,23 +221,11 @@
         spacing_ms: u64,
     },
     /// Straight to a worker. Only ever to stop tasks: it may be executed minutes late.
-    Order {
-        machine: MachineId,
-        endpoint: String,
-        orders: Orders,
-    },
+    Order { machine: MachineId, endpoint: String, orders: Orders },
     /// A question to a worker that only asks whether it is reached.
-    Probe {
-        machine: MachineId,
-        endpoint: String,
-    },
+    Probe { machine: MachineId, endpoint: String },
     /// This program cannot work with what it found; it ends.
-    Refuse {
-        why: String,
-    },
+    Refuse { why: String },
     /// To one peer, or to all.
-    Mesh {
-        to: Option<NodeId>,
-        message: Message,
-    },
+    Mesh { to: Option<NodeId>, message: Message },
 }
