--- a/crates/cleatfold-control/src/teams.rs
+++ b/crates/cleatfold-control/src/teams.rs
@@ -8,32 +8,31 @@
 use crate::mirror::Live;
 use crate::node::{EventNumber, Node, Pending};
 use crate::records::*;
-use crate::state::teams::{Question, Turning};
+use crate::state::teams::{Question, Ranks, Turning};
 use crate::state::workspaces::read_group;
 use cleatfold_wire::team::*;
 use cleatfold_wire::*;
 use cleatfold_workspace::page::{by_place, Paper};
 use cleatfold_workspace::GROUP_MOST;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-/// Questions of one team that wait at a time: who asks more is told to come back, and only he.
-const MOST: usize = 64;
-/// How long one waits for its answer.
-const WAIT_MS: u64 = 4000;
-/// The order of the queue is worked out at most so often.
-const ORDER_MS: u64 = 1000;
 /// Groups of a history that are read at once.
 const GROUPS: u32 = 12;
 
 impl Node {
-    pub(crate) fn on_team(&mut self, rid: u64, team: TeamId, what: TeamAsk, since: u64) {
-        if self.cfg.team(&team).is_none() {
-            return self.reply(rid, Response::refuse(404, "no such team"));
+    /// What a team's question is answered with at once, if it cannot be answered now.
+    pub(crate) fn refuse_team(&self, team: &TeamId) -> Option<Response> {
+        if self.cfg.team(team).is_none() {
+            return Some(Response::refuse(404, "no such team"));
         }
-        if self.store_away() {
-            return self.reply(rid, Response::later("the state service does not answer"));
+        self.store_away().then(Response::store_unavailable)
+    }
+
+    pub(crate) fn on_team(&mut self, rid: u64, team: TeamId, what: TeamAsk, since: u64) {
+        if let Some(refusal) = self.refuse_team(&team) {
+            return self.reply(rid, refusal);
         }
-        if self.teams.waiting.iter().filter(|q| q.team == team).count() >= MOST {
+        if self.teams.is_full(&team) {
             return self.reply(rid, Response::later("too many such questions"));
         }
         let (arrived, arrived_at) = (self.now, self.event);
@@ -44,13 +43,7 @@
     }
 
     pub(crate) fn late_questions(&mut self, away: bool) -> Vec<u64> {
-        let now = self.now;
-        let (late, waiting) = std::mem::take(&mut self.teams.waiting)
-            .into_iter()
-            .partition(|q| away || now.since(q.arrived) > WAIT_MS);
-        self.teams.waiting = waiting;
-        let late: Vec<Question> = late;
-        late.into_iter().map(|q| q.rid).collect()
+        self.teams.take_late(self.now, away)
     }
 
     /// A reading sent at event `sent_at` is in (none: more is known of what has ended).
@@ -127,7 +120,7 @@
         let waits = |live: &Live| !live.record.aborted && live.unclaimed() > 0;
         let told = self.live_jobs(team, since).filter(|j| waits(j.2)).map(|(place, id, live)| {
             let spec = &live.record.spec;
-            let rank = self.teams.ranks.1.get(id).copied();
+            let rank = self.teams.ranks.get(id);
             let (holdup, why) = self.holdup(id, live, rank, full, &up);
             let job = WaitingJob {
                 place,
@@ -188,20 +181,16 @@
     }
 
     fn rank_queue(&mut self) {
-        let (at, ranks) = &self.teams.ranks;
-        if self.now.since(*at) < ORDER_MS && !ranks.is_empty() {
+        if !self.teams.ranks.are_due(self.now) {
             return;
         }
-        let mut counts: BTreeMap<&TeamId, u32> = BTreeMap::new();
-        let mut ranks = BTreeMap::new();
         let queue = self.queue();
-        for queued in queue.iter().filter(|q| !q.growth) {
-            let Some(live) = self.mirror.jobs.get(&queued.job) else { continue };
-            let count = counts.entry(&live.record.spec.team).or_default();
-            *count += 1;
-            ranks.insert(queued.job.clone(), *count);
-        }
-        self.teams.ranks = (self.now, ranks);
+        let waiting = queue.iter().filter(|queued| !queued.growth);
+        let teams = waiting.filter_map(|queued| {
+            let live = self.mirror.jobs.get(&queued.job)?;
+            Some((&queued.job, &live.record.spec.team))
+        });
+        self.teams.ranks = Ranks::of_queue(self.now, teams);
     }
 
     // ---- history ----
@@ -232,8 +221,7 @@
 
     pub(crate) fn on_team_history(&mut self, turning: Turning, reply: StoreReply) {
         let StoreReply::Page(page) = reply else {
-            let later = Response::later("the state service does not answer");
-            return self.reply(turning.rid, later);
+            return self.reply(turning.rid, Response::store_unavailable());
         };
         let mut paper = Paper::default();
         let mut next = turning.since;
