Explored claims: a direct command that is held up, with sessions and with copies of reports

Cause: direct commands were not in the model, so that they must never start a task was argued only.

Change: an owner sends one direct stop to the session that it last answered; it arrives at any later step if token and session still match, raises the worker's token, and its sender takes the exits from the answer, or hears none.

--- a/crates/cleatfold-control/tests/claims.rs
+++ b/crates/cleatfold-control/tests/claims.rs
@@ -5,8 +5,8 @@
 //! any stretch without a step of the state service, so all of them are in it.
 //!
 //! Bounds: those of each search are in the table below; all are searched exhaustively within them. Beyond them
-//! or not in the model: jobs in parts, gangs, limits, elastic jobs, deletion of machines, direct orders (a stop
-//! that comes late is an exit like any other), answers that wait for a claim. A reading is one step, and the
+//! or not in the model: jobs in parts, gangs, limits, elastic jobs, deletion of machines, answers that wait
+//! for a claim. Direct commands are in the two searches of their name. A reading is one step, and the
 //! dealing of a pool is one (its guard is the version that it changes). Time is not in it but for what the
 //! clocks warrant: an owner concludes that a lease has run out only when the session that it answered has ended
 //! or the worker has gone on under a higher token; a cancellation's bound passes only when each machine was
@@ -15,6 +15,7 @@
 //! (The search is a plain one through all states; no library for it could be had here.)
 
 mod claims {
+    pub mod commands;
     pub mod model;
     pub mod search;
     pub mod steps;
@@ -34,6 +35,7 @@
     attempts: 2,
     late: 1,
     copies: 1,
+    held: 0,
     failures: false,
     drains: false,
     cancel: false,
@@ -59,6 +61,11 @@
     copies: 0,
     ..TAKE_OVER
 };
+/// Direct commands that are held up, beside sessions, and beside copies of reports.
+const HELD_SESSIONS: Bounds =
+    Bounds { name: "held, sessions", tokens: 1, sessions: 1, copies: 0, ..HELD_COPIES };
+const HELD_COPIES: Bounds = Bounds { name: "held, copies", held: 1, late: 0, ..TAKE_OVER };
+const HELD_DRAINS: Bounds = Bounds { name: "held, drains", copies: 0, drains: true, ..HELD_COPIES };
 /// All of it, with a cancellation.
 const WHOLE: Bounds = Bounds { name: "whole", tokens: 2, restarts: [1, 0], cancel: true, ..ACCEPT };
 /// For the guards that need them.
@@ -103,6 +110,16 @@
     holds(CANCEL, 200_000, &[DONE, ABORTED, ADOPTED, CANCELLED, BOUND]);
 }
 
+#[test]
+fn held_commands_and_sessions() {
+    holds(HELD_SESSIONS, 50_000, &[DONE]);
+}
+
+#[test]
+fn held_commands_and_copies() {
+    holds(HELD_COPIES, 500_000, &[DONE, ADOPTED, RELEASED]);
+}
+
 /// From acceptance to the archive. All of `ACCEPT` and more.
 #[test]
 fn whole() {
@@ -144,5 +161,6 @@
         (Guard::Incarnation, RESTART_DRAINS, RAN_TWICE),
         (Guard::NotEnding, DRAINS, RAN_TWICE),
         (Guard::OwnToken, DRAINS, RAN_TWICE),
+        (Guard::DirectStopsOnly, HELD_DRAINS, RAN_TWICE),
     ]);
 }
--- a/crates/cleatfold-control/tests/claims/model.rs
+++ b/crates/cleatfold-control/tests/claims/model.rs
@@ -41,6 +41,8 @@
     DeafLimit,
     /// A poll is answered by a reading sent after it came.
     FreshPolls,
+    /// Direct commands stop tasks and never start one.
+    DirectStopsOnly,
 }
 
 /// How far the search goes.
@@ -59,6 +61,8 @@
     pub late: u8,
     /// Reports of which a copy is kept, to be read any number of times.
     pub copies: u8,
+    /// Direct commands, each executed at any later step if token and session still match.
+    pub held: u8,
     /// Tasks may fail; machines may be emptied.
     pub failures: bool,
     pub drains: bool,
@@ -202,6 +206,16 @@
     pub renewed: bool,
 }
 
+/// A direct command that is on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct HeldCommand {
+    pub sender: u8,
+    pub machine: u8,
+    pub token: u8,
+    pub session: u8,
+    pub command: Command,
+}
+
 /// A report that may be read again, or for the first time, at any later step.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Copied {
@@ -242,6 +256,9 @@
     pub lates: u8,
     pub copy: Option<Copied>,
     pub copies: u8,
+    pub held: Option<HeldCommand>,
+    /// Direct commands that were sent.
+    pub sent: u8,
     pub submitted: u8,
     pub told: Told,
     pub phase: Phase,
--- a/crates/cleatfold-control/tests/claims/steps.rs
+++ b/crates/cleatfold-control/tests/claims/steps.rs
@@ -1,5 +1,6 @@
 //! What can happen next, as `jobs.rs`, `workers.rs`, `machines.rs`, `submissions.rs` and `requests.rs` do it.
 
+use super::commands::hear;
 use super::model::*;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +33,10 @@
     RanOut(usize, usize),
     Limit,
     Bound,
+    /// An owner sends a direct command for a task on a machine.
+    Direct(usize, usize, u8),
+    /// It arrives; its sender hears the answer, or not.
+    Arrives(bool),
 }
 
 pub struct World {
@@ -40,7 +45,7 @@
 }
 
 impl World {
-    fn has(&self, guard: Guard) -> bool {
+    pub(super) fn has(&self, guard: Guard) -> bool {
         self.without != Some(guard)
     }
 
@@ -58,7 +63,7 @@
         s
     }
 
-    fn token(&self, s: &State, n: usize) -> Option<u8> {
+    pub(super) fn token(&self, s: &State, n: usize) -> Option<u8> {
         let node = &s.nodes[n];
         let pool = node.mirror?.pool;
         let same_life = pool.life == node.life || !self.has(Guard::Incarnation);
@@ -156,11 +161,17 @@
                     }
                 }
                 go(Step::RanOut(n, m), &|t| self.ran_out(t, n, m));
+                for ix in 0..b.tasks as u8 {
+                    go(Step::Direct(n, m, ix), &|t| self.send_directly(t, n, m, ix));
+                }
             }
             for &give_up in drains {
                 go(Step::ReadCopy(n, give_up), &|t| self.read_copy(t, n, give_up));
             }
         }
+        for heard in [false, true] {
+            go(Step::Arrives(heard), &|t| self.arrives(t, heard));
+        }
         for i in 0..s.late.len() {
             go(Step::Late(i), &|t| {
                 let tx = t.late.remove(i);
@@ -300,6 +311,8 @@
         let may_hold = |tx: &Tx| tx.submission || holds(&store, tx);
         t.late.retain(may_hold);
         t.late.sort_unstable();
+        let machines = &t.machines;
+        t.held.take_if(|held| !held.matches(&machines[usize::from(held.machine)]));
         for n in 0..NODES {
             let own = self.token(t, n);
             let node = &mut t.nodes[n];
@@ -485,7 +498,7 @@
 pub const AGAIN: &str = "started again after its completion was durable";
 
 /// A proof for ever replaces one that needs our token.
-fn end(node: &mut Node, ix: u8, end: End) {
+pub(super) fn end(node: &mut Node, ix: u8, end: End) {
     let known = &mut node.ends[ix as usize];
     match known {
         Some(k) if k.attempt == end.attempt && (k.fence.is_none() || end.fence.is_some()) => {}
@@ -574,59 +587,9 @@
     true
 }
 
-fn is_durable(t: &State, ix: u8) -> bool {
+pub(super) fn is_durable(t: &State, ix: u8) -> bool {
     match t.store.job {
         Some(job) => job.tasks[ix as usize] == Task::Done,
         None => t.store.archive.is_some(),
     }
 }
-
-/// A worker reads its answer.
-fn hear(t: &mut State, m: usize) {
-    let Some(answer) = t.machines[m].answer.take() else { return };
-    if answer.token < t.machines[m].token {
-        return;
-    }
-    t.machines[m].token = answer.token;
-    t.machines[m].renewed |= answer.after_limit;
-    for command in answer.commands {
-        match command {
-            Command::Launch(ix, attempt) => {
-                let here = &t.machines[m].tasks;
-                if here.iter().any(|x| (x.0, x.1) == (ix, attempt)) {
-                    continue;
-                }
-                if here.iter().any(|x| x.0 == ix && x.2 == Run::Alive) {
-                    t.machines[m].tasks.push((ix, attempt, Run::Failed));
-                    continue;
-                }
-                let alive = |x: &(u8, u8, Run)| x.0 == ix && x.2 == Run::Alive;
-                if t.machines.iter().any(|m| m.tasks.iter().any(alive)) {
-                    t.broken = Some(RAN_TWICE);
-                } else if t.phase == Phase::Bound {
-                    t.broken = Some(RAN_CANCELLED);
-                } else if is_durable(t, ix) && t.store.archive != Some(Ended::Aborted) {
-                    t.broken = Some(AGAIN);
-                }
-                t.machines[m].tasks.push((ix, attempt, Run::Alive));
-            }
-            Command::Kill(ix, attempt) => {
-                for x in &mut t.machines[m].tasks {
-                    if *x == (ix, attempt, Run::Alive) {
-                        x.2 = Run::Failed;
-                    }
-                }
-            }
-            Command::Reap(ix, attempt) => {
-                let old = std::mem::take(&mut t.machines[m].tasks);
-                let (gone, kept): (Tasks, Tasks) =
-                    old.into_iter().partition(|x| (x.0, x.1) == (ix, attempt) && x.2 != Run::Alive);
-                t.machines[m].tasks = kept;
-                if gone.iter().any(|x| x.2 == Run::Completed) && !is_durable(t, ix) {
-                    t.broken = Some(REAPED);
-                }
-            }
-        }
-    }
-    t.machines[m].tasks.sort_unstable_by_key(|x| (x.0, x.1));
-}
