--- a/crates/cleatfold-lab/src/pairs.rs
+++ b/crates/cleatfold-lab/src/pairs.rs
@@ -144,7 +144,7 @@
         started: world.started,
         running,
         cancelled,
-        late: (world.meetings.late, world.meetings.held_orders),
+        late: (world.meetings.late, world.meetings.held_orders + world.command_faults.late),
         longest_ms: world.polls.longest_ms,
     }
 }
--- a/crates/cleatfold-lab/src/world/commands.rs
+++ b/crates/cleatfold-lab/src/world/commands.rs
@@ -19,7 +19,7 @@
 const MOST_HUNG: usize = 8;
 /// An elastic job that takes what room there is.
 const ELASTIC_TASKS: u32 = 60;
-const ELASTIC_STEPS: u32 = 900;
+const ELASTIC_STEPS: u32 = 300;
 /// A cancellation without an answer is repeated after so long.
 const REPEAT_MS: u64 = 1_000;
 
@@ -36,6 +36,8 @@
     leadership: Version,
     /// Machines that open no connection to a controller, until when.
     mute: BTreeMap<MachineId, Ms>,
+    /// The last elastic job that was submitted so that there are direct commands.
+    elastic: Option<JobId>,
     /// Direct commands that are on their way and late.
     pub held: Vec<HeldCommand>,
     /// Commands that were held up.
@@ -141,15 +143,20 @@
     }
 
     /// A user submits an elastic job that takes all room there is: whatever comes after it needs members to be stopped,
-    /// by direct commands.
+    /// by direct commands. One at a time: several would not end within a day on the few machines that are kept for them.
     pub fn submit_elastic(&mut self) {
+        let unfinished = self.unfinished();
+        if self.command_faults.elastic.as_ref().is_some_and(|job| unfinished.contains(job)) {
+            return;
+        }
         let mut spec = self.some_job();
         (spec.team, spec.urgency, spec.kind) = (team_id(0), Urgency::BestEffort, Kind::Array);
         (spec.tasks, spec.cpus, spec.estimate_s) = (ELASTIC_TASKS, 1.0, 0.0);
         (spec.one_zone, spec.spread, spec.types) = (false, false, None);
         spec.elastic = Some(Elastic { steps: ELASTIC_STEPS, least: 1, step_s: 1.5 });
         if let Some(node) = self.users_node() {
-            self.submit(node, spec);
+            let job = self.submit(node, spec);
+            self.command_faults.elastic = Some(job);
         }
     }
 
--- a/crates/cleatfold-lab/tests/pairs.rs
+++ b/crates/cleatfold-lab/tests/pairs.rs
@@ -75,7 +75,9 @@
 fn late_commands_and_old_reports_meet_others() {
     use Trouble::*;
     meet(&[(ReportsForNextLeader, Kill), (Mute, Kill), (CancelNow, OverAndBack)], 1..2);
-    meet(&[(LateCommands, Apart), (Mute, ReportsForNextLeader), (StoreCut, CancelNow)], 1..2);
+    meet(&[(Mute, ReportsForNextLeader), (StoreCut, CancelNow)], 1..2);
+    let met = meet(&[(LateCommands, Apart), (Freeze, LateCommands)], 1..2);
+    assert!(met.iter().all(|m| m.late.1 > 0), "no command was late: {met:#?}");
 }
 
 /// Commands that are late, reports for the next leader, machines that reach nobody, and machines that hang while their
