A capacity run: real controllers, hollow workers, slopes by least squares

Cause: nothing measured what controllers, the state service and workers use with real processes as a region grows towards 5,800 workers, 3,600 starts a second and 330 teams.

Change: cleatfold-lab capacity brings up to 199 controllers up as processes on loopback against the stand-in state service and cloud, loads them with jobs of 330 teams of very uneven shares, measures state, messages, processor time, memory and waits, kills the leader and then all controllers, and lays a line with its error through each figure. Hollow workers share threads; reports, leases, tokens and commands are the real protocol. Memory and processes are bounded before and during the run; wrong arguments end with 2; Ctrl-C leaves nothing behind. Nodes::laid_out writes settings of any cluster. The stand-in state service finds changes by binary search instead of reading its log.

--- a/crates/cleatfold-lab/src/lib.rs
+++ b/crates/cleatfold-lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! The laboratory: a simulated region that tests and measurements share, and a real one on
 //! loopback. Not part of the product.
 
+pub mod capacity;
 pub mod days;
 pub mod elastic;
 pub mod history;
--- a/crates/cleatfold-lab/src/main.rs
+++ b/crates/cleatfold-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The laboratory's command line.
 
 use clap::{Parser, Subcommand};
-use cleatfold_lab::{days, elastic, scale, team, weights};
+use cleatfold_lab::{capacity, days, elastic, scale, team, weights};
 use std::process::ExitCode;
 use tracing_subscriber::filter::{LevelFilter, Targets};
 use tracing_subscriber::prelude::*;
@@ -25,6 +25,8 @@
     Elastic(elastic::Plan),
     /// Changes a job, calls, and processor time at several sizes, in simulated time.
     Scale(scale::Plan),
+    /// What the controllers use at several sizes: real processes, hollow workers, on loopback.
+    Capacity(capacity::Plan),
     /// A team's jobs, queue or history as a table: team ADDRESS TEAM [jobs|queue|history].
     Team(team::Question),
     /// Many machines want one large image, while controllers are killed, in simulated time.
@@ -36,6 +38,12 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    if let Command::Capacity(plan) = &cli.command {
+        if let Err(why) = plan.check() {
+            eprintln!("cleatfold-lab: {why}");
+            return ExitCode::from(2);
+        }
+    }
     // The controllers of a simulated region are part of this process: only our own lines.
     let ours = Targets::new().with_target("cleatfold_lab", LevelFilter::INFO);
     let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false);
@@ -57,6 +65,14 @@
                 }
                 Ok(conclude(&results.checks))
             }
+            Command::Capacity(plan) => {
+                let results = capacity::run(&plan).await?;
+                println!("{}", results.table());
+                if let Some(path) = &plan.json {
+                    std::fs::write(path, serde_json::to_string_pretty(&results)?)?;
+                }
+                Ok(conclude(&results.checks))
+            }
             Command::Scale(plan) => scale::run(&plan).map(|()| true),
             Command::Team(question) => team::run(&question).await.map(|()| true),
             Command::Weights(plan) => {
--- a/crates/cleatfold-lab/src/nodes.rs
+++ b/crates/cleatfold-lab/src/nodes.rs
@@ -5,10 +5,15 @@
 use rand::{Rng, SeedableRng};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Operators' settings that every controller gets, if the file is in their directory.
+pub const OPERATOR_FILE: &str = "operator.hcl";
+
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 
 pub struct Nodes {
@@ -17,6 +22,8 @@
     ids: Vec<NodeId>,
     /// Where users and workers reach them.
     pub addresses: Vec<String>,
+    /// Where their mesh listeners are.
+    pub mesh_addresses: Vec<String>,
     children: Vec<Option<Child>>,
 }
 
@@ -36,6 +43,17 @@
     Err(std::io::Error::new(std::io::ErrorKind::NotFound, why))
 }
 
+/// What the controllers' settings files say of their cluster.
+pub struct Layout<'a> {
+    pub zones: &'a [String],
+    /// Address of the cloud and the state service.
+    pub region: &'a str,
+    /// The settings from `[[cluster.teams]]` on.
+    pub cluster: &'a str,
+    /// Where the others reach each controller's mesh listener; empty: at the listener itself.
+    pub mesh_entries: &'a [String],
+}
+
 impl Nodes {
     /// Writes the settings of `count` controllers into `dir`; none runs yet.
     pub fn prepare(
@@ -44,34 +62,54 @@
         region: &str,
         changes: f64,
     ) -> std::io::Result<Self> {
+        let cluster = format!(
+            "[[cluster.teams]]\nname = \"sweeps\"\n[[cluster.teams]]\nname = \"renders\"\n\
+             [cluster.workers]\nreport_s = 1.0\nlease_s = 10.0\ncancel_s = 40.0\n\
+             [cluster.state]\nrps = 1000.0\nwrite_rps = {changes:.1}\nvalue_kb = 16.0\n\
+             txn_ops = 16\n[cluster.cloud]\nrps = 10.0\nlist_lag_s = 1.0\n"
+        );
+        let zones = ZONES.map(String::from);
+        let layout = Layout { zones: &zones, region, cluster: &cluster, mesh_entries: &[] };
+        Self::laid_out(dir, count, &layout)
+    }
+
+    /// Writes the settings of `count` controllers by a layout into `dir`; none runs yet.
+    pub fn laid_out(dir: PathBuf, count: usize, layout: &Layout) -> std::io::Result<Self> {
         std::fs::create_dir_all(&dir)?;
         let ids: Vec<NodeId> = (0..count).map(|i| NodeId::new(format!("lab-{i}"))).collect();
         let ports: Vec<(u16, u16)> =
             (0..count).map(|_| Ok((free_port()?, free_port()?))).collect::<std::io::Result<_>>()?;
+        let mesh_addresses: Vec<String> =
+            ports.iter().map(|p| format!("127.0.0.1:{}", p.1)).collect();
+        let (region, cluster) = (layout.region, layout.cluster);
+        let zone_of = |i: usize| &layout.zones[i % layout.zones.len()];
         for i in 0..count {
             let members: String = (0..count)
                 .filter(|j| *j != i)
                 .map(|j| {
-                    let (id, zone, port) = (&ids[j], ZONES[j % 3], ports[j].1);
-                    format!("[[members]]\nhost_name = \"{id}\"\narea = \"{zone}\"\nendpoint = \"127.0.0.1:{port}\"\n")
+                    let (id, zone) = (&ids[j], zone_of(j));
+                    let entry = layout.mesh_entries.get(j).unwrap_or(&mesh_addresses[j]);
+                    format!("[[members]]\nhost_name = \"{id}\"\narea = \"{zone}\"\nendpoint = \"{entry}\"\n")
                 })
                 .collect();
-            let (id, zone, (user, mesh)) = (&ids[i], ZONES[i % 3], ports[i]);
+            let (id, zone, user) = (&ids[i], zone_of(i), ports[i].0);
+            let (mesh, zones) = (&mesh_addresses[i], layout.zones);
             let text = format!(
                 "host_name = \"{id}\"\narea = \"{zone}\"\nserve_on = \"127.0.0.1:{user}\"\n\
-                 mesh_addr = \"127.0.0.1:{mesh}\"\n{members}\
+                 mesh_addr = \"{mesh}\"\n{members}\
                  [endpoints]\ncloud = \"{region}\"\nstate = \"{region}\"\n\
-                 [cluster]\nnodes = {count}\nzones = [\"a\", \"b\", \"c\"]\n\
-                 [[cluster.teams]]\nname = \"sweeps\"\n[[cluster.teams]]\nname = \"renders\"\n\
-                 [cluster.workers]\nreport_s = 1.0\nlease_s = 10.0\ncancel_s = 40.0\n\
-                 [cluster.state]\nrps = 1000.0\nwrite_rps = {changes:.1}\nvalue_kb = 16.0\n\
-                 txn_ops = 16\n[cluster.cloud]\nrps = 10.0\nlist_lag_s = 1.0\n"
+                 [cluster]\nnodes = {count}\nzones = {zones:?}\n{cluster}"
             );
             std::fs::write(dir.join(format!("{id}.toml")), text)?;
         }
         let addresses = ports.iter().map(|p| format!("127.0.0.1:{}", p.0)).collect();
         let children = (0..count).map(|_| None).collect();
-        Ok(Self { program: program()?, dir, ids, addresses, children })
+        Ok(Self { program: program()?, dir, ids, addresses, mesh_addresses, children })
+    }
+
+    /// Process ids of the controllers that were started and not killed.
+    pub fn pids(&self) -> Vec<Option<u32>> {
+        self.children.iter().map(|child| child.as_ref().map(Child::id)).collect()
     }
 
     pub fn named(&self) -> Vec<(NodeId, String)> {
@@ -83,13 +121,13 @@
             .create(true)
             .append(true)
             .open(self.dir.join(format!("{}.log", self.ids[i])))?;
-        let child = Command::new(&self.program)
-            .arg("--config")
-            .arg(self.dir.join(format!("{}.toml", self.ids[i])))
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()?;
+        let mut command = Command::new(&self.program);
+        command.arg("--config").arg(self.dir.join(format!("{}.toml", self.ids[i])));
+        let operator = self.dir.join(OPERATOR_FILE);
+        if operator.is_file() {
+            command.arg("--operator").arg(operator);
+        }
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
         self.children[i] = Some(child);
         Ok(())
     }
@@ -111,6 +149,32 @@
     }
 }
 
+/// Passes everything that comes to `listener` on to `to` and counts the bytes, both ways.
+pub async fn counting_line(listener: TcpListener, to: String, bytes: Arc<AtomicU64>) {
+    while let Ok((near, _)) = listener.accept().await {
+        let Ok(far) = TcpStream::connect(&to).await else { continue };
+        let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        tokio::task::spawn_local(count(near_read, far_write, bytes.clone()));
+        tokio::task::spawn_local(count(far_read, near_write, bytes.clone()));
+    }
+}
+
+async fn count(
+    mut from: impl AsyncReadExt + Unpin,
+    mut to: impl AsyncWriteExt + Unpin,
+    bytes: Arc<AtomicU64>,
+) {
+    let mut buffer = vec![0; 64 * 1024];
+    while let Ok(n @ 1..) = from.read(&mut buffer).await {
+        bytes.fetch_add(n as u64, Ordering::Relaxed);
+        if to.write_all(&buffer[..n]).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Puts a line before a controller on which a share of the packets is held for up to 3 s, as a
 /// cut that ends does. Returns its address.
 pub async fn holding_line(to: String, share: f64, seed: u64) -> std::io::Result<String> {
--- a/crates/cleatfold-lab/src/region.rs
+++ b/crates/cleatfold-lab/src/region.rs
@@ -94,11 +94,11 @@
     own: String,
 }
 
-fn json(code: u16, body: &impl Serialize) -> Answer {
+pub(crate) fn json(code: u16, body: &impl Serialize) -> Answer {
     (code, serde_json::to_vec(body).unwrap_or_default())
 }
 
-fn problem(code: u16, why: &str) -> Answer {
+pub(crate) fn problem(code: u16, why: &str) -> Answer {
     json(code, &Problem { error: why.into() })
 }
 
@@ -491,6 +491,6 @@
     }
 }
 
-fn read<T: DeserializeOwned>(body: &[u8], answer: impl FnOnce(T) -> Answer) -> Answer {
+pub(crate) fn read<T: DeserializeOwned>(body: &[u8], answer: impl FnOnce(T) -> Answer) -> Answer {
     serde_json::from_slice(body).map_or_else(|e| problem(400, &e.to_string()), answer)
 }
--- a/crates/cleatfold-standin/src/store.rs
+++ b/crates/cleatfold-standin/src/store.rs
@@ -59,10 +59,10 @@
     }
 
     pub fn changes(&self, prefix: &str, from: Version) -> Events {
-        let events = self
-            .log
+        // The log is in the order of its revisions.
+        let known = self.log.partition_point(|e| e.version <= from);
+        let events = self.log[known..]
             .iter()
-            .filter(|e| e.version > from)
             .filter(|e| e.put.as_ref().or(e.delete.as_ref()).is_some_and(|k| k.starts_with(prefix)))
             .cloned()
             .collect();
