Capacity run: waits of any length, families of archived keys

Cause: the run's histograms never grew (saturating_record keeps them within their first bounds), so a wait above 2,047 units counted as 2; and each archived job was a family of keys of its own.

Change: values are recorded so that the histogram grows; a key that controllers do not mirror counts by its first segment. A test records a wait of 100 s.

--- a/crates/cleatfold-lab/src/capacity/measure.rs
+++ b/crates/cleatfold-lab/src/capacity/measure.rs
@@ -4,7 +4,7 @@
 use super::state_service::{StateSeen, StateService};
 use super::traffic::{is_urgent, zone, Traffic, ZONES};
 use super::users::{User, UserEvent};
-use super::watch::{histogram, Recovery, Watch};
+use super::watch::{histogram, record, Recovery, Watch};
 use super::{usage, Plan, SizeRow};
 use crate::nodes::{counting_line, Layout, Nodes, OPERATOR_FILE};
 use cleatfold_clients::http::Http;
@@ -261,7 +261,7 @@
     fn hear(&mut self, told: UserEvent) {
         match told {
             UserEvent::Accepted { after, attempts } => {
-                self.accepted.saturating_record(after.as_micros() as u64);
+                record(&mut self.accepted, after.as_micros() as u64);
                 self.refused_attempts += u64::from(attempts - 1);
             }
             UserEvent::GaveUp => self.gave_up += 1,
--- a/crates/cleatfold-lab/src/capacity/state_service.rs
+++ b/crates/cleatfold-lab/src/capacity/state_service.rs
@@ -21,6 +21,8 @@
 const TICK: Duration = Duration::from_millis(50);
 const BOOT_S: f64 = 2.0;
 const LEADER: &str = "cf/leader";
+/// What controllers mirror.
+const LIVE: &str = "cf/";
 
 /// What the state service has done so far and what it holds.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -61,9 +63,10 @@
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
-/// A key's family: `cf/j` of `cf/j/run-1`.
+/// A key's family: `cf/j` of `cf/j/run-1`, `ar` of `ar/run-1`.
 fn family(key: &str) -> String {
-    key.split('/').take(2).collect::<Vec<_>>().join("/")
+    let segments = if key.starts_with(LIVE) { 2 } else { 1 };
+    key.split('/').take(segments).collect::<Vec<_>>().join("/")
 }
 
 impl StateService {
--- a/crates/cleatfold-lab/src/capacity/watch.rs
+++ b/crates/cleatfold-lab/src/capacity/watch.rs
@@ -51,6 +51,11 @@
     Histogram::new(3).expect("three digits")
 }
 
+/// Records a value, however large. (`saturating_record` never lets a histogram grow.)
+pub fn record(histogram: &mut Histogram<u64>, value: u64) {
+    histogram.record(value).expect("a histogram that grows");
+}
+
 fn millis(duration: Duration) -> u64 {
     duration.as_millis() as u64
 }
@@ -114,7 +119,7 @@
             if waiting.tasks_left == 0 {
                 let wait = at.saturating_duration_since(waiting.since);
                 self.urgent.remove(&task.job);
-                self.urgent_wait.saturating_record(millis(wait));
+                record(&mut self.urgent_wait, millis(wait));
             }
         }
     }
@@ -139,7 +144,7 @@
     /// Counts urgent jobs that wait still with what they have waited so far; tells how many.
     pub fn end_waits(&mut self) -> usize {
         for waiting in self.urgent.values() {
-            self.urgent_wait.saturating_record(millis(waiting.since.elapsed()));
+            record(&mut self.urgent_wait, millis(waiting.since.elapsed()));
         }
         self.urgent.len()
     }
--- a/crates/cleatfold-lab/tests/capacity.rs
+++ b/crates/cleatfold-lab/tests/capacity.rs
@@ -1,11 +1,15 @@
 //! The capacity run: its arguments, the line through its figures, its traffic, and a small run
 //! with real controllers that leaves nothing behind.
 
+use cleatfold_lab::capacity::hollow::TaskEvent;
 use cleatfold_lab::capacity::slope::Line;
 use cleatfold_lab::capacity::traffic::Traffic;
 use cleatfold_lab::capacity::usage;
+use cleatfold_lab::capacity::watch::Watch;
+use cleatfold_wire::{MachineId, TaskId, TaskIx};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const LAB: &str = env!("CARGO_BIN_EXE_cleatfold-lab");
@@ -105,6 +109,24 @@
     assert_eq!(traffic.limits().len(), 330);
 }
 
+#[test]
+fn waits_of_any_length_are_counted_as_they_were() {
+    let traffic = Arc::new(Traffic::new(1, 100, 5, 20.0));
+    let mut watch = Watch::new(traffic.clone());
+    let job = (2..).step_by(2).map(|number| traffic.job(number)).find(|job| job.tasks == 2);
+    let job = job.expect("an urgent job of two tasks");
+    watch.submitted(&job);
+    for (ix, wait_s) in [(0, 1), (1, 100)] {
+        let task = TaskId { job: job.id.clone(), ix: TaskIx(ix) };
+        let at = tokio::time::Instant::now() + Duration::from_secs(wait_s);
+        watch.note(TaskEvent::Started { task, machine: MachineId::new("vm-1"), at });
+    }
+    assert_eq!((watch.urgent_wait.len(), watch.started), (1, 2));
+    let wait = watch.urgent_wait.max();
+    assert!((99_900..100_200).contains(&wait), "{wait}");
+    assert!(watch.broken.is_empty(), "{:?}", watch.broken);
+}
+
 /// Processes that have `text` in their command line.
 fn with_command_line(text: &str) -> usize {
     let processes = std::fs::read_dir("/proc").expect("a /proc").flatten();
