--- a/crates/cleatfold-wire/src/job.rs
+++ b/crates/cleatfold-wire/src/job.rs
@@ -4,6 +4,9 @@
 use crate::losses::JobLosses;
 use serde::{Deserialize, Serialize};
 
+/// No duration, in seconds, and no image, in GB, may be larger: thirty years, in milliseconds and times a machine's
+/// processors, are still far from where numbers end.
+pub const MAX_AMOUNT: f64 = 1e9;
 /// A job may have no more tasks than this.
 pub const MAX_TASKS: u32 = 100_000;
 /// No request body may be longer.
@@ -135,17 +138,18 @@
             return wrong("pieces", "not between 1 and 100000");
         }
         let amounts = [
-            ("cores", self.cpus),
-            ("cards", self.gpus),
-            ("ramGb", self.memory_gb),
-            ("pullGb", self.image_gb),
-            ("dureePrevueS", self.estimate_s),
-            ("intervalleSauvegardeS", self.checkpoint_s),
-            ("dureeSauvegardeS", self.save_s),
-            ("echeanceS", self.deadline_s.unwrap_or(0.0)),
+            // However large, these are too much for a machine, and refused for that.
+            ("cores", self.cpus, f64::MAX),
+            ("cards", self.gpus, f64::MAX),
+            ("ramGb", self.memory_gb, f64::MAX),
+            ("pullGb", self.image_gb, MAX_AMOUNT),
+            ("dureePrevueS", self.estimate_s, MAX_AMOUNT),
+            ("intervalleSauvegardeS", self.checkpoint_s, MAX_AMOUNT),
+            ("dureeSauvegardeS", self.save_s, MAX_AMOUNT),
+            ("echeanceS", self.deadline_s.unwrap_or(0.0), MAX_AMOUNT),
         ];
-        for (field, amount) in amounts {
-            if !amount.is_finite() || amount < 0.0 {
+        for (field, amount, most) in amounts {
+            if !(0.0..=most).contains(&amount) {
                 return wrong(field, "not an amount");
             }
         }
