--- a/crates/cleatfold-control/src/jobs.rs
+++ b/crates/cleatfold-control/src/jobs.rs
@@ -9,6 +9,7 @@
 use crate::node::{Node, Pending};
 use crate::records::*;
 use crate::state::jobs::{part_of, End, JobTx, Local, Outcome};
+use crate::state::sent::Sent;
 use crate::state::steps::{judge, Judged};
 use cleatfold_elastic::Verdict;
 use cleatfold_ledger::{claim_order, Selection};
@@ -381,6 +382,7 @@
             job: job.clone(),
             txn,
             doubtful: false,
+            sent: Sent::now(self.now),
             ends: ended,
             claims,
             withdrawals,
--- a/crates/cleatfold-control/src/lib.rs
+++ b/crates/cleatfold-control/src/lib.rs
@@ -32,6 +32,7 @@
 mod renting;
 mod requests;
 mod schedule;
+mod settle;
 mod shrink;
 mod state;
 mod steps;
--- a/crates/cleatfold-control/src/pending.rs
+++ b/crates/cleatfold-control/src/pending.rs
@@ -3,6 +3,7 @@
 pub(crate) use crate::event_number::EventNumber;
 use crate::records::*;
 use crate::state::jobs::JobTx;
+use crate::state::sent::Sent;
 use cleatfold_duties::Duty;
 use cleatfold_wire::cloud::RentRequest;
 use cleatfold_wire::job::JobSpec;
@@ -24,6 +25,7 @@
     Submit {
         batch: Vec<Submission>,
         txn: Txn,
+        sent: Sent,
     },
     /// How one job ended, if it did.
     Archive {
--- a/crates/cleatfold-control/src/state/jobs.rs
+++ b/crates/cleatfold-control/src/state/jobs.rs
@@ -2,6 +2,7 @@
 
 use crate::event_number::EventNumber;
 use crate::records::{ArchiveRecord, JobRecord, PART};
+use crate::state::sent::Sent;
 use crate::state::steps::{Asked, Judged};
 use cleatfold_wire::losses::LossCause;
 use cleatfold_wire::store::Txn;
@@ -99,6 +100,8 @@
     pub txn: Txn,
     /// The outcome of an earlier sending is unknown.
     pub doubtful: bool,
+    /// When it was sent first.
+    pub sent: Sent,
     pub ends: Vec<End>,
     pub claims: Vec<(Wish, Vec<(TaskIx, Attempt)>)>,
     pub withdrawals: Vec<u64>,
--- a/crates/cleatfold-control/src/state/mod.rs
+++ b/crates/cleatfold-control/src/state/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod lanes;
 pub(crate) mod losses;
 pub(crate) mod reach;
+pub(crate) mod sent;
 pub(crate) mod steps;
 pub(crate) mod stops;
 pub(crate) mod teams;
