--- a/crates/cleatfold-control/tests/leaders.rs
+++ b/crates/cleatfold-control/tests/leaders.rs
@@ -74,7 +74,7 @@
     world.ten_leaders(Ms(132_000));
     let mut first_ends: std::collections::BTreeMap<JobId, Ms> = Default::default();
     let mut outlasted: std::collections::BTreeMap<JobId, usize> = Default::default();
-    while world.now < Ms(140_000) {
+    while world.now < Ms(140_000) && world.broken.is_empty() {
         asking(&mut world, 500);
         for (job, watch) in &world.jobs {
             let all = watch.spec.as_ref().map_or(0, |s| s.tasks as usize);
