--- a/crates/cleatfold-control/src/news.rs
+++ b/crates/cleatfold-control/src/news.rs
@@ -4,7 +4,7 @@
 use crate::jobs::{part_of, Local};
 use crate::mirror::Live;
 use crate::node::{Node, Pending};
-use cleatfold_ledger::{News, PartNews, Selection, Turn};
+use cleatfold_ledger::{News, PartNews, Selection};
 use cleatfold_wire::job::Urgency;
 use cleatfold_wire::*;
 use std::collections::BTreeMap;
@@ -20,21 +20,22 @@
     pub(crate) fn flush(&mut self) {
         let nodes = if self.in_contact() { self.mirror.nodes.len() } else { 0 };
         let nodes = if nodes == 0 { self.cfg.peers.len() + 1 } else { nodes };
-        let share = self.acceptance_share();
-        self.pace.fill(self.now, self.cfg.changes_per_s, nodes, share);
-        loop {
-            let open = self.loaded && self.pace.open();
-            let due = if open { self.weightiest() } else { None };
-            let demand = self.pace.demand(self.can_flush_submissions(), due.is_some());
-            match (self.pace.turn(demand), due) {
-                // What it took out of the queue may all be known already; then there is nothing to charge.
-                (Some(Turn::Acceptance), _) => {
-                    let sent = self.flush_submissions(demand);
-                    self.pace.charge_acceptance(demand, sent);
+        self.pace.fill(self.now, self.cfg.changes_per_s, nodes);
+        while self.pace.open() {
+            let due = if self.loaded { self.weightiest() } else { None };
+            // Submissions first, but a flood of them leaves the jobs every other change.
+            if self.submitting.ahead == 0 || due.is_none() {
+                let sent = self.flush_submissions();
+                if sent > 0 {
+                    // Only what went ahead of a job that waited is owed to the jobs. (Counted
+                    // while none waited, a busy hour's submissions would have held up later ones.)
+                    self.submitting.ahead += if due.is_some() { self.owed(sent) } else { 0 };
+                    continue;
                 }
-                (Some(Turn::Jobs), Some(job)) => self.send_job_tx(job),
-                _ => return,
             }
+            let Some(job) = due else { return };
+            self.submitting.ahead = self.submitting.ahead.saturating_sub(1);
+            self.send_job_tx(job);
         }
     }
 
--- a/crates/cleatfold-control/src/pace.rs
+++ b/crates/cleatfold-control/src/pace.rs
@@ -5,7 +5,6 @@
 //! when it may go. (Built at once and queued behind others, each carried what was known when it
 //! joined the queue: a job of forty tasks needed a change for nearly every one of them.)
 
-use cleatfold_ledger::{AcceptanceReserve, Demand, Turn};
 use cleatfold_wire::Ms;
 
 /// What is kept back of the service's limit, for changes that nobody counted.
@@ -16,39 +15,16 @@
     level: f64,
     rate: f64,
     filled: Ms,
-    /// The part of it that acceptance need not share with claims and ends.
-    acceptance: AcceptanceReserve,
 }
 
 impl Pace {
-    /// `limit` is the whole service's, `nodes` how many live on it, `acceptance` the share reserved for submissions.
-    pub fn fill(&mut self, now: Ms, limit: f64, nodes: usize, acceptance: f64) {
+    /// `limit` is the whole service's, `nodes` how many live on it.
+    pub fn fill(&mut self, now: Ms, limit: f64, nodes: usize) {
         let rate = limit * MARGIN / nodes.max(1) as f64;
         self.rate = rate;
         let passed = now.since(self.filled) as f64 / 1000.0;
         self.filled = now;
         self.level = (self.level + rate * passed).min(rate.max(2.0));
-        self.acceptance.refill(rate, acceptance, passed);
-    }
-
-    /// Who waits for changes now.
-    pub fn demand(&self, acceptance: bool, jobs: bool) -> Demand {
-        Demand { open: self.open(), acceptance, jobs }
-    }
-
-    /// Whose turn it is.
-    pub fn turn(&self, demand: Demand) -> Option<Turn> {
-        self.acceptance.turn(demand)
-    }
-
-    /// How many submissions may go in one transaction.
-    pub fn batch(&self, demand: Demand, most: usize) -> usize {
-        self.acceptance.batch(demand, most)
-    }
-
-    /// Submissions have used so many changes; `spend` counts them among all.
-    pub fn charge_acceptance(&mut self, demand: Demand, changes: usize) {
-        self.acceptance.charge(demand, changes);
     }
 
     /// A change may go. One that turns out larger overdraws; it is paid back before the next.
@@ -90,7 +66,7 @@
         let mut pace = Pace::default();
         let mut sent = 0;
         for ms in (1000..=11_000).step_by(50) {
-            pace.fill(Ms(ms), 30.0, 3, 0.5);
+            pace.fill(Ms(ms), 30.0, 3);
             while pace.open() {
                 pace.spend(3);
                 sent += 3;
--- a/crates/cleatfold-control/src/submissions.rs
+++ b/crates/cleatfold-control/src/submissions.rs
@@ -4,7 +4,6 @@
 use crate::node::{Node, Pending, Submission, Wait};
 use crate::records::*;
 use cleatfold_door::Intake;
-use cleatfold_ledger::Demand;
 use cleatfold_plan::Resources;
 use cleatfold_wire::job::{JobSpec, JobState, Kind};
 use cleatfold_wire::mesh::Message;
@@ -22,11 +21,13 @@
 pub(crate) struct Submitting {
     pub intake: Intake<TeamId, Submission>,
     inflight: bool,
+    /// Changes that submissions were ahead of the jobs' own.
+    pub ahead: usize,
 }
 
 impl Default for Submitting {
     fn default() -> Self {
-        Self { intake: Intake::new(SUBMIT_MS), inflight: false }
+        Self { intake: Intake::new(SUBMIT_MS), inflight: false, ahead: 0 }
     }
 }
 
@@ -77,24 +78,21 @@
         self.flush_due = true;
     }
 
-    /// The share of our changes that goes to submissions when jobs have use for the rest: half, and three quarters
-    /// while many wait. A job that is not accepted in time is late already, and whoever has to come back costs
-    /// another request.
-    pub(crate) fn acceptance_share(&self) -> f64 {
-        if self.submitting.are_many(self.pace.rate()) {
-            0.75
-        } else {
-            0.5
-        }
-    }
-
+    /// What goes to submissions of our changes when jobs have use for the rest: every other one, and
+    /// three of four while they wait long. A job that is not accepted in time is late already, and
+    /// whoever has to come back costs another request.
     fn submissions_per_s(&self) -> f64 {
-        (self.pace.rate() * self.acceptance_share()).max(1.0)
+        let part = if self.submitting.are_many(self.pace.rate()) { 0.75 } else { 0.5 };
+        (self.pace.rate() * part).max(1.0)
     }
 
-    /// A batch of submissions could go now.
-    pub(crate) fn can_flush_submissions(&self) -> bool {
-        !self.submitting.inflight && !self.submitting.intake.is_empty()
+    /// So many changes are owed to the jobs after submissions took some before them.
+    pub(crate) fn owed(&self, sent: usize) -> usize {
+        if self.submitting.are_many(self.pace.rate()) {
+            sent.div_ceil(3)
+        } else {
+            sent
+        }
     }
 
     /// Why a job can never run here, if so.
@@ -130,14 +128,16 @@
 
     /// Group commit: what came in while the last batch was under way goes together.
     /// Returns the number of changes.
-    pub(crate) fn flush_submissions(&mut self, demand: Demand) -> usize {
+    pub(crate) fn flush_submissions(&mut self) -> usize {
+        if self.submitting.inflight || self.submitting.intake.is_empty() {
+            return 0;
+        }
         let mut batch: Vec<Submission> = Vec::new();
         let mut txn = Txn::default();
         let mut size = 0;
         // Each costs a change whether alone or not, and one that is known already fails them all:
         // no more at a time than half a second's worth.
         let most = (self.submissions_per_s().ceil() as usize).clamp(2, self.cfg.txn_ops);
-        let most = self.pace.batch(demand, most);
         while batch.len() < most {
             let Some((_, next)) = self.submitting.intake.pop(self.now.0) else { break };
             let job = next.spec.id.clone();
--- a/crates/cleatfold-ledger/src/lib.rs
+++ b/crates/cleatfold-ledger/src/lib.rs
@@ -5,8 +5,6 @@
 
 mod news;
 mod parts;
-mod reserve;
 
 pub use news::News;
 pub use parts::{claim_order, PartNews, Selection};
-pub use reserve::{AcceptanceReserve, Demand, Turn};
