Slices of the teams' limits move within a share of the changes

Cause: `keep_slices` looked every 250 ms and sent a transaction for each team whose slice should move, without regard to the changes that the state service takes; what was refused was sent again every 300 ms and blocked the team's claims meanwhile, and what met a conflict was tried again at the next look.

Change: `cleatfold_door::WritePacer` decides which slices may be written now: a token bucket with 35% of the controller's changes (and what is spare beyond it), exponential backoff for each team with deterministic jitter (250 to 500 ms at first, 4 s at most, reset by a success), growth before giving back, none overtaken for more than 3 s. The guards of slices and pools stay. A slice write whose outcome is unknown blocks the team until it is decided, as before; one that is certainly not executed and was never in doubt is dropped and decided anew, as claims are. The simulated region can refuse changes above the rate (`refuses_above_rate`, off by default).

--- a/crates/cleatfold-control/src/limits.rs
+++ b/crates/cleatfold-control/src/limits.rs
@@ -9,6 +9,7 @@
 use crate::records::*;
 use crate::schedule::PoolPlan;
 use cleatfold_admission::room::Room;
+use cleatfold_door::{Backoff, Need, PacerLimits, WritePacer};
 use cleatfold_plan::chart::FOREVER;
 use cleatfold_plan::{Resources, Timeline};
 use cleatfold_wire::job::{JobSpec, Kind};
@@ -24,8 +25,41 @@
 /// A part is kept for what a pool has reserved to start within this time.
 const KEEP_MS: u64 = 10_000;
 
-#[derive(Debug, Default)]
+/// How often it is looked which slices should move.
+const LOOK_MS: u64 = 250;
+
+/// Slices may take this share of our changes, and what nobody else needs. A write that was refused or came too
+/// late is tried again after a quarter or half of a second, later after four seconds at most.
+const PACER: PacerLimits = PacerLimits {
+    share: 0.35,
+    burst_s: 2.0,
+    least_burst: 4.0,
+    backoff: Backoff { first_ms: 500, most_ms: 4_000 },
+    return_delay_ms: 3_000,
+};
+
+/// A change of a team's slices that our pools want.
+struct SliceMove {
+    team: TeamId,
+    need: Need,
+    txn: Txn,
+    record: SliceRecord,
+}
+
+/// A change of a team's slices that was sent.
+#[derive(Debug)]
+pub(crate) struct SentSlice {
+    pub team: TeamId,
+    txn: Txn,
+    record: SliceRecord,
+    /// An earlier sending may have been executed, or may yet be.
+    doubtful: bool,
+}
+
+#[derive(Debug)]
 pub(crate) struct Limits {
+    /// When slices may be written.
+    pacer: WritePacer<TeamId>,
     pub inflight: BTreeSet<TeamId>,
     pub looked: Ms,
     /// What the last planning could have started but for the pool's part of a team's limit.
@@ -36,6 +70,20 @@
     pub blind: Option<EventNumber>,
 }
 
+impl Limits {
+    pub fn new(me: &NodeId) -> Self {
+        let seed = xxhash_rust::xxh3::xxh3_64(me.as_str().as_bytes());
+        Self {
+            pacer: WritePacer::new(seed, PACER),
+            inflight: BTreeSet::new(),
+            looked: Ms::default(),
+            short: Usage::new(),
+            soon: Usage::new(),
+            blind: None,
+        }
+    }
+}
+
 /// A limit that a pool's machines could exceed, and what is left of it there.
 pub(crate) struct Binding {
     pub team: TeamId,
@@ -252,13 +300,30 @@
     /// start right now: asking for all that waits let a pool whose machines the waiting jobs
     /// could not use keep the whole limit, and the team stood still.
     pub(crate) fn keep_slices(&mut self) {
-        if self.now.since(self.limits.looked) < 250 || !self.in_contact() {
+        if self.now.since(self.limits.looked) < LOOK_MS || !self.in_contact() {
             return;
         }
         self.limits.looked = self.now;
         if self.limits.blind.is_some() {
             return;
         }
+        let moves = self.slice_moves();
+        let wanted: Vec<(TeamId, Need)> = moves.iter().map(|m| (m.team.clone(), m.need)).collect();
+        self.limits.pacer.refill(self.now.0, self.pace.rate());
+        let admitted = self.limits.pacer.admit(self.now.0, &wanted, self.pace.spare());
+        let mut moves: BTreeMap<TeamId, SliceMove> =
+            moves.into_iter().map(|m| (m.team.clone(), m)).collect();
+        for team in admitted {
+            let Some(SliceMove { team, txn, record, .. }) = moves.remove(&team) else { continue };
+            self.limits.inflight.insert(team.clone());
+            let request = StoreRequest::Txn(txn.clone());
+            let sent = SentSlice { team, txn, record, doubtful: false };
+            self.store(Lane::Claim, request, Pending::Slice(Box::new(sent)));
+        }
+    }
+
+    /// Which teams' slices should move, whether or not there are changes for all of them.
+    fn slice_moves(&self) -> Vec<SliceMove> {
         let usage = self.limited_usage();
         let sizes = self.fleet.sizes();
         let own: Vec<(PoolId, Token, Resources)> = self
@@ -270,13 +335,10 @@
                 (p.clone(), o.0, self.fleet.total(&p.machine_type).times(n))
             })
             .collect();
-        let teams: Vec<crate::config::Team> =
-            self.cfg.teams.iter().filter(|t| t.is_limited()).cloned().collect();
         let needs = self.largest_needs();
-        for team in teams {
-            if self.limits.inflight.contains(&team.name) {
-                continue;
-            }
+        let mut moves = Vec::new();
+        let limited = self.cfg.teams.iter().filter(|t| t.is_limited());
+        for team in limited.filter(|t| !self.limits.inflight.contains(&t.name)) {
             let (version, record) = self.mirror.slices.get(&team.name).cloned().unwrap_or_default();
             let max = Resources::new(team.cpus_max, team.gpus_max, 0.0);
             let taken = record.pools.values().fold((0, 0), |a, s| (a.0 + s.0, a.1 + s.1));
@@ -284,6 +346,7 @@
             let need = needs.get(&team.name).copied().unwrap_or_default();
             let mut new = record.clone();
             let mut txn = Txn::default();
+            let mut grows = false;
             for (pool, token, capacity) in &own {
                 let key = (team.name.clone(), pool.clone());
                 let of = |amounts: &Usage| amounts.get(&key).copied().unwrap_or_default();
@@ -294,6 +357,7 @@
                     resize(old.1, wants, *capacity, &mut free.1, (max, need), |r| r.gpus),
                 );
                 if part != old {
+                    grows |= part.0 > old.0 || part.1 > old.1;
                     new.pools.insert(pool.clone(), part);
                     txn.guard(pool_key(pool), Version(token.0));
                 }
@@ -304,11 +368,10 @@
             new.pools.retain(|_, s| *s != (0, 0));
             txn.guard(slice_key(&team.name), version);
             txn.put(slice_key(&team.name), &new, None);
-            self.limits.inflight.insert(team.name.clone());
-            let request = StoreRequest::Txn(txn.clone());
-            let pending = Pending::Slice { team: team.name, txn, record: new };
-            self.store(Lane::Claim, request, pending);
+            let need = if grows { Need::Start } else { Need::Return };
+            moves.push(SliceMove { team: team.name.clone(), need, txn, record: new });
         }
+        moves
     }
 
     /// By team, the most that something of it needs at once to start at all.
@@ -326,17 +389,12 @@
         needs
     }
 
-    pub(crate) fn on_slice(
-        &mut self,
-        op: u64,
-        team: TeamId,
-        txn: Txn,
-        record: SliceRecord,
-        reply: StoreReply,
-    ) {
+    pub(crate) fn on_slice(&mut self, op: u64, mut sent: SentSlice, reply: StoreReply) {
         match reply {
             StoreReply::Committed(version) => {
+                let SentSlice { team, record, .. } = sent;
                 self.limits.inflight.remove(&team);
+                self.limits.pacer.succeeded(&team);
                 let current = self.mirror.slices.get(&team).map(|s| s.0).unwrap_or_default();
                 if current < version {
                     self.mirror.slices.insert(team, (version, record));
@@ -344,18 +402,34 @@
                 self.dirty = true;
             }
             // It may yet be executed: until that is decided, nothing is claimed by it.
-            StoreReply::Unknown | StoreReply::Refused => {
-                let request = txn.clone();
-                self.again(op, Lane::Claim, request, Pending::Slice { team, txn, record }, 300);
+            StoreReply::Unknown => {
+                sent.doubtful = true;
+                self.resend_slice(op, sent);
+            }
+            // Not executed this time, but an earlier sending may yet be.
+            StoreReply::Refused if sent.doubtful => self.resend_slice(op, sent),
+            // Certainly not executed: what is wanted then is found out by a later look.
+            StoreReply::Refused => {
+                self.limits.inflight.remove(&sent.team);
+                self.limits.pacer.failed(self.now.0, &sent.team);
+                self.dirty = true;
             }
             _ => {
                 // What stands is known after the next reading; until then it counts as blind.
-                self.limits.inflight.remove(&team);
+                self.limits.inflight.remove(&sent.team);
+                self.limits.pacer.failed(self.now.0, &sent.team);
                 self.limits.blind = Some(self.event);
                 self.want_sync = true;
             }
         }
     }
+
+    /// Sends it once more: the same guards decide.
+    fn resend_slice(&mut self, op: u64, sent: SentSlice) {
+        let pause_ms = self.limits.pacer.resend(&sent.team);
+        let txn = sent.txn.clone();
+        self.again(op, Lane::Claim, txn, Pending::Slice(Box::new(sent)), pause_ms);
+    }
 }
 
 /// A pool's new part of a limit (`max` 0: there is none). `need` is what somebody may need at once.
--- a/crates/cleatfold-control/src/node.rs
+++ b/crates/cleatfold-control/src/node.rs
@@ -106,6 +106,7 @@
 impl Node {
     pub fn new(cfg: Config) -> Self {
         let reach = crate::state::reach::Reaching::new(&cfg);
+        let limits = crate::limits::Limits::new(&cfg.me);
         Self {
             cfg,
             now: Ms(0),
@@ -166,7 +167,7 @@
             dirty: false,
             renting: Default::default(),
             assigned_at: Ms(0),
-            limits: Default::default(),
+            limits,
             admission: Default::default(),
             workspaces: Default::default(),
             teams: Default::default(),
@@ -581,7 +582,7 @@
                     self.tell(None, Message::Changed);
                 }
             }
-            Pending::Slice { team, txn, record } => self.on_slice(op, team, txn, record, reply),
+            Pending::Slice(sent) => self.on_slice(op, *sent, reply),
             Pending::LossLog => self.on_loss_log(reply),
             Pending::LossGroup { team, token, count, txn } => {
                 self.on_loss_group(op, (team, token), count, txn, reply)
--- a/crates/cleatfold-control/src/pace.rs
+++ b/crates/cleatfold-control/src/pace.rs
@@ -47,6 +47,11 @@
         self.level >= (self.rate / 2.0).max(1.0)
     }
 
+    /// Changes that starts and submissions may do without in the next moment.
+    pub fn spare(&self) -> usize {
+        (self.level - (self.rate / 2.0).max(1.0)).max(0.0) as usize
+    }
+
     /// So many records at most in one transaction: what overdraws keeps everybody else waiting.
     pub fn affords(&self) -> usize {
         (self.level.max(0.0) as usize).max(2)
--- a/crates/cleatfold-control/src/pending.rs
+++ b/crates/cleatfold-control/src/pending.rs
@@ -49,11 +49,7 @@
     Rents(Box<cleatfold_duties::rents::Step>),
     /// Any transaction on pool keys or slices: whatever comes of it, the next sync tells.
     Deal,
-    Slice {
-        team: TeamId,
-        txn: Txn,
-        record: SliceRecord,
-    },
+    Slice(Box<crate::limits::SentSlice>),
     Cleanup,
     /// Seats at the origin.
     Origin {
--- a/crates/cleatfold-door/src/lib.rs
+++ b/crates/cleatfold-door/src/lib.rs
@@ -11,6 +11,7 @@
 mod retry;
 mod seats;
 mod turns;
+mod write_pacer;
 
 pub use class::Class;
 pub use desk::Desk;
@@ -20,3 +21,4 @@
 pub use retry::{Backoff, Breaker, RetryBudget};
 pub use seats::{Seat, SeatId, Seats};
 pub use turns::{Turns, ROUND, TURN_MS};
+pub use write_pacer::{Need, PacerLimits, WritePacer};
--- a/crates/cleatfold-lab/src/world.rs
+++ b/crates/cleatfold-lab/src/world.rs
@@ -251,6 +251,8 @@
     /// Bytes of records that they read, and changes that came above the service's limit.
     pub bytes_read: u64,
     pub refused_changes: u64,
+    /// Changes above the limit are refused, as the real service does; otherwise they are only counted.
+    pub refuses_above_rate: bool,
     /// Controllers that ended by themselves, and what they said.
     pub refused_starts: Vec<(usize, String)>,
     /// Questions about single ended jobs.
@@ -345,6 +347,7 @@
             busy: Default::default(),
             bytes_read: 0,
             refused_changes: 0,
+            refuses_above_rate: false,
             refused_starts: Vec::new(),
             archive_reads: 0,
             team_losses: None,
--- a/crates/cleatfold-lab/src/world/services.rs
+++ b/crates/cleatfold-lab/src/world/services.rs
@@ -18,8 +18,10 @@
             }
             StoreRequest::Txn(txn) => {
                 assert!(txn.changes.len() <= 16 && txn.guards.len() <= 64, "within the limits");
+                if self.refuses(txn.changes.len()) {
+                    return StoreReply::Refused;
+                }
                 self.changes.push((now, txn.changes.len()));
-                self.spend(txn.changes.len());
                 let (unfenced, absences) = self.releases(&txn);
                 let left = self.ends_with_claims(&txn);
                 let steps = self.steps.judge(&self.store, &txn);
@@ -108,13 +110,20 @@
         }
     }
 
-    /// Counts what the real service would refuse: it allows a second's worth at once.
-    fn spend(&mut self, changes: usize) {
+    /// Whether a transaction is refused for the rate, where the region is to have that.
+    fn refuses(&mut self, changes: usize) -> bool {
+        let above = self.spend(changes);
+        above && self.refuses_above_rate
+    }
+
+    /// Counts what the real service would refuse: it allows a second's worth at once. Tells whether this is.
+    fn spend(&mut self, changes: usize) -> bool {
         let rate = self.size.changes_per_s;
         let passed = self.now.since(self.budget.0) as f64 / 1000.0;
         let level = (self.budget.1 + rate * passed).min(rate);
         let refused = level < changes as f64;
         self.refused_changes += if refused { changes as u64 } else { 0 };
         self.budget = (self.now, if refused { level } else { level - changes as f64 });
+        refused
     }
 }
