What was sent again in vain is not paid back for minutes

Cause: each sending of a transaction was charged to the controller's changes, also those that nobody took while the state service was away; the bucket had no bound below. Change: the bucket is never overdrawn by more than five seconds' worth. The new unit test was seen to fail without the bound. Conclusion: a storm of retries costs seconds, not minutes.

--- a/crates/cleatfold-control/src/pace.rs
+++ b/crates/cleatfold-control/src/pace.rs
@@ -10,6 +10,11 @@
 /// What is kept back of the service's limit, for changes that nobody counted.
 const MARGIN: f64 = 0.92;
 
+/// The bucket is never overdrawn by more than so many seconds' worth. What is sent again and again while the state
+/// service is away is charged each time, though it is executed once at the most: without a bound a controller paid
+/// back for minutes what nobody had taken, and its ends and claims stood still meanwhile.
+const MOST_DEBT_S: f64 = 5.0;
+
 #[derive(Debug, Default)]
 pub(crate) struct Pace {
     level: f64,
@@ -58,7 +63,7 @@
     }
 
     pub fn spend(&mut self, changes: usize) {
-        self.level -= changes as f64;
+        self.level = (self.level - changes as f64).max(-self.rate * MOST_DEBT_S);
     }
 }
 
@@ -66,6 +71,19 @@
 mod tests {
     use super::*;
 
+    /// Transactions are sent again for a minute while nothing answers; seconds after that changes go again.
+    #[test]
+    fn what_was_sent_again_in_vain_is_not_paid_back_for_minutes() {
+        let mut pace = Pace::default();
+        for ms in (1000..=61_000).step_by(300) {
+            pace.fill(Ms(ms), 15.0, 3);
+            pace.spend(18);
+        }
+        let late = 61_000 + (MOST_DEBT_S as u64 + 1) * 1000;
+        pace.fill(Ms(late), 15.0, 3);
+        assert!(pace.open());
+    }
+
     #[test]
     fn a_second_lets_no_more_through_than_our_part() {
         let mut pace = Pace::default();
