--- a/review/lib/region.py
+++ b/review/lib/region.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections import deque
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -902,6 +903,9 @@
     except asyncio.TimeoutError:
         record("could not run: out of time")
         print("could not run: out of time")
+    except Exception:
+        record("could not run:\n" + traceback.format_exc())
+        traceback.print_exc()
     finally:
         if os.environ.get("KEEP_LOGS"):
             shutil.copytree(region.folder, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
