--- a/review/standin-2/sites.py
+++ b/review/standin-2/sites.py
@@ -58,3 +58,23 @@
     "state": {"rps": 70.0, "write_rps": 25.0, "value_kb": 32.0, "txn_ops": 20},
     "limits": {"cores": 0.072, "ram_mb": 188.0, "max_sockets": 3473},
 }
+
+# sites/kerbrev.toml: the first brief.
+KERBREV_FIRST = KERBREV | {
+    "teams": [
+        {"name": "juristes", "cpus": 408.0, "cpus_max": 1016.0, "gpus": 0.0, "gpus_max": 0.0},
+        {"name": "traducteurs", "cpus": 304.0, "cpus_max": 1224.0, "gpus": 0.0, "gpus_max": 0.0},
+        {"name": "produit", "cpus": 408.0, "cpus_max": 1624.0, "gpus": 0.0, "gpus_max": 0.0},
+        {"name": "support", "cpus": 160.0, "cpus_max": 512.0, "gpus": 0.0, "gpus_max": 0.0},
+    ],
+    "objectives": [
+        {"kind": "finished", "class": "rendu", "within_s": 120.0, "share": 0.88},
+        {"kind": "deadline", "class": "controle", "share": 0.98, "times": 1.0},
+        {"kind": "wait", "class": "controle", "within_s": 2.0, "share": 0.85},
+        {"kind": "guarantee", "within_s": 5.0, "share": 0.97},
+    ],
+    "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 35.0, "gang_peer_s": 6.0, "cancel_s": 40.0},
+    "state": {"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 16},
+    "cloud": {"rps": 5.0, "list_lag_s": 10.0},
+    "limits": {"cores": 0.16, "ram_mb": 56.0, "max_sockets": 800},
+}
