fakes: a service's replicas run until they are stopped

The fake worker ended a replica after its estimate, which is 0 for a service (PROTOCOL), so a service was done as soon as it had started, and no simulated test could have machines that services fill.

Replicas now end only by a command, a failure or with their worker's lease.

--- a/crates/cleatfold-fakes/src/worker.rs
+++ b/crates/cleatfold-fakes/src/worker.rs
@@ -2,7 +2,7 @@
 
 use crate::images::{WorkerImages, NEVER};
 use crate::member::Member;
-use cleatfold_wire::job::JobSpec;
+use cleatfold_wire::job::{JobSpec, Kind};
 use cleatfold_wire::worker::{
     Command, Exit, Heartbeat, HeartbeatResponse, Orders, TaskReport, TaskState,
 };
@@ -233,6 +233,8 @@
                 launched.exit = Some(Exit::InsufficientResources)
             }
             Some((spec, run_ms, fails)) => {
+                // The replicas of a service run until they are stopped.
+                let run_ms = if spec.kind == Kind::Service { NEVER.0 } else { run_ms };
                 launched.resources = (spec.cpus, spec.memory_gb);
                 launched.ready_at = now.plus(self.fetch_ms);
                 launched.ends_at = launched.ready_at.plus(run_ms);
@@ -240,7 +242,7 @@
                     (launched.ready_at, launched.ends_at) = (NEVER, NEVER);
                 }
                 if let Some(elastic) = &spec.elastic {
-                    launched.ends_at = Ms(u64::MAX / 4);
+                    launched.ends_at = NEVER;
                     let step_ms = ((elastic.step_s * 1000.0) as u64).max(1);
                     let member = Member::new(task.clone(), attempt, step_ms, launched.ready_at);
                     self.members.insert(key.clone(), member);
