Log why no machine is requested for jobs that wait

The holder of the role of scaling out now says it every 10 s once a job has waited for 30 s, in processors: what the waiting jobs need, what the limits hold back and what counts as supply.

--- a/crates/cleatfold-control/src/machines/scale_out.rs
+++ b/crates/cleatfold-control/src/machines/scale_out.rs
@@ -22,6 +22,10 @@
 use std::collections::BTreeMap;
 
 const SCALE_OUT_INTERVAL_MS: u64 = 500;
+/// A job that has waited for longer than this without a request to the cloud is explained in the log.
+const EXPLAINED_WAIT_S: f64 = 30.0;
+/// Time between two such explanations.
+const EXPLANATION_INTERVAL_MS: u64 = 10_000;
 /// Smaller shortfalls are rounding errors.
 const MIN_SHORTFALL_CPUS: f64 = 1e-9;
 /// Maximum number of open intents in the record.
@@ -60,6 +64,26 @@
     }
 }
 
+/// Processors that all waiting jobs need, and what meets that need.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct DemandTotals {
+    /// How long the job that was accepted first has waited, in seconds.
+    longest_wait_s: f64,
+    /// Processors that the waiting jobs need.
+    needed: f64,
+    /// Of these, what their teams' limits keep from starting.
+    limited: f64,
+    /// Of these, what the supply covers.
+    covered: f64,
+}
+
+/// The shortfall of each offer, largest first, and how it came about.
+#[derive(Debug, Default)]
+struct Shortfalls {
+    by_offer: Vec<(Offer, f64)>,
+    totals: DemandTotals,
+}
+
 /// State of the scale-out role.
 #[derive(Debug, Default)]
 pub(crate) struct ScaleOutState {
@@ -70,6 +94,8 @@
     /// When the reply to a write arrived without confirming it. The cache may lack the effect of
     /// the write until a read that was sent later has completed.
     unconfirmed_since: Option<Ms>,
+    /// When the log last said why no machine is requested for jobs that wait.
+    explained_at: Ms,
 }
 
 impl Controller {
@@ -127,7 +153,11 @@
             return vec![];
         }
         let mut new_intents = Vec::new();
-        for (offer, shortfall) in self.shortfalls() {
+        let Shortfalls { by_offer, totals } = self.shortfalls();
+        if by_offer.is_empty() {
+            self.explain_no_request(totals);
+        }
+        for (offer, shortfall) in by_offer {
             // At most one open intent per offer.
             if new_intents.len() >= free_slots || open.contains(&offer) {
                 continue;
@@ -153,6 +183,18 @@
         new_intents
     }
 
+    /// Logs why no machine is requested for jobs that have waited for long.
+    fn explain_no_request(&mut self, totals: DemandTotals) {
+        let DemandTotals { longest_wait_s, needed, limited, covered } = totals;
+        if longest_wait_s < EXPLAINED_WAIT_S
+            || self.now.since(self.scale_out.explained_at) < EXPLANATION_INTERVAL_MS
+        {
+            return;
+        }
+        self.scale_out.explained_at = self.now;
+        tracing::info!(longest_wait_s, needed, limited, covered, "no scale-out for waiting jobs");
+    }
+
     /// Makes the cloud requests once their intents are durable.
     pub(crate) fn on_scale_out_written(&mut self, step: ScaleOutStep, reply: StoreReply) {
         self.scale_out.write_in_flight = false;
@@ -235,10 +277,11 @@
     /// for the waiting jobs, largest first. In queue order, each job is allocated what it may use
     /// of the supply; the rest is its shortfall. (Comparing only the sum over the queue with the
     /// supply filled the region with machines that the waiting jobs could not use.)
-    fn shortfalls(&self) -> Vec<(Offer, f64)> {
+    fn shortfalls(&self) -> Shortfalls {
         let mut headroom = self.team_headroom(|cached| self.fraction_still_used(cached));
         let mut supply = self.supply();
         let mut shortfalls = CpusByOffer::new();
+        let mut totals = DemandTotals::default();
         let machine_counts = self.inventory.machine_counts();
         for QueuedTasks { job: id, tasks: unclaimed, is_growth, .. } in self.queue() {
             let Some(cached) = self.cache.jobs.get(&id) else { continue };
@@ -248,12 +291,18 @@
                 continue;
             }
             let mut demand = self.cpu_demand(cached, unclaimed);
+            totals.longest_wait_s = totals.longest_wait_s.max(self.waited_s(cached));
+            totals.needed += demand.cpus;
             // Nor for tasks that the team's limit keeps from starting.
             if let Some(headroom) = headroom.get_mut(&cached.record.spec.team) {
-                demand.cpus = demand.cpus.min(*headroom).max(0.0);
-                *headroom -= demand.cpus;
+                let startable = demand.cpus.min(*headroom).max(0.0);
+                totals.limited += demand.cpus - startable;
+                demand.cpus = startable;
+                *headroom -= startable;
             }
+            let startable = demand.cpus;
             self.allocate_supply(cached, &mut demand, &mut supply);
+            totals.covered += startable - demand.cpus;
             if demand.cpus > MIN_SHORTFALL_CPUS {
                 if let Some(offer) = self.best_offer(cached, &shortfalls, &demand, &machine_counts)
                 {
@@ -261,9 +310,14 @@
                 }
             }
         }
-        let mut sorted: Vec<(Offer, f64)> = shortfalls.into_iter().collect();
-        sorted.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
-        sorted
+        let mut by_offer: Vec<(Offer, f64)> = shortfalls.into_iter().collect();
+        by_offer.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        Shortfalls { by_offer, totals }
+    }
+
+    /// How long ago a job was accepted, in seconds.
+    fn waited_s(&self, cached: &CachedJob) -> f64 {
+        self.wall_ms.saturating_sub(cached.record.accepted_ms) as f64 / 1000.0
     }
 
     /// The expected fraction of its processors that a running job still uses when the waiting jobs
@@ -338,7 +392,6 @@
     /// objectives.
     fn slack_s(&self, cached: &CachedJob) -> f64 {
         let spec = &cached.record.spec;
-        let elapsed = self.wall_ms.saturating_sub(cached.record.accepted_ms) as f64 / 1000.0;
         let objectives =
             self.cfg.objectives.iter().filter(|objective| objective.class == spec.class);
         let waits = objectives.filter_map(|objective| match objective.kind {
@@ -346,7 +399,7 @@
             ObjectiveKind::Deadline(times) => spec.deadline_s.map(|d| d * times - spec.estimate_s),
             ObjectiveKind::Wait(within) => Some(within),
         });
-        waits.min_by(f64::total_cmp).unwrap_or(self.cfg.usual_wait_s) - elapsed
+        waits.min_by(f64::total_cmp).unwrap_or(self.cfg.usual_wait_s) - self.waited_s(cached)
     }
 
     /// The best offer for a job, by price per processor, boot time and how many of the machines are
