Shortfall: a module of its own beside scaling out

scale_out.rs did two jobs in 450 lines: what waiting jobs lack, and the intents and calls by which the cloud is asked for it. The first moves as it stands to machines/shortfall.rs. No change of behaviour.

--- a/crates/cleatfold-control/src/machines/mod.rs
+++ b/crates/cleatfold-control/src/machines/mod.rs
@@ -4,4 +4,5 @@
 pub(crate) mod deleted;
 pub(crate) mod inventory;
 pub(crate) mod scale_out;
+mod shortfall;
 mod watch;
--- a/crates/cleatfold-control/src/machines/scale_out.rs
+++ b/crates/cleatfold-control/src/machines/scale_out.rs
@@ -5,89 +5,33 @@
 //! first recorded as an intent under the role's epoch: a former holder's write fails, so it makes
 //! no request. The successor repeats the recorded requests under the same names.
 
-use crate::config::ObjectiveKind;
 use crate::controller::{Controller, Pending};
 use crate::effects::{CallPriority, CloudReply, CloudRequest, StoreReply, StoreRequest};
 use crate::machines::inventory::Machine;
-use crate::scheduling::queue::QueuedTasks;
-use crate::store::cache::{CachedJob, Versioned};
+use crate::machines::shortfall::{DemandTotals, Offer, Shortfalls};
+use crate::store::cache::Versioned;
 use crate::store::records::SCALE_OUT_KEY;
 use cleatfold_roles::scale_out::ScaleOutStep;
 use cleatfold_roles::{Role, ScaleOutIntent, ScaleOutOutcome, ScaleOutTracker};
 use cleatfold_wire::cloud::ScaleOutRequest;
-use cleatfold_wire::job::Kind;
 use cleatfold_wire::mesh::Message;
 use cleatfold_wire::store::Txn;
-use cleatfold_wire::{MachineId, Ms, PoolId, ZoneId};
-use std::collections::BTreeMap;
+use cleatfold_wire::{MachineId, Ms, PoolId};
 
 const SCALE_OUT_INTERVAL_MS: u64 = 500;
 /// A job that has waited for longer than this without a request to the cloud is explained in the log.
 const EXPLAINED_WAIT_S: f64 = 30.0;
 /// Time between two such explanations.
 const EXPLANATION_INTERVAL_MS: u64 = 10_000;
-/// Smaller shortfalls are rounding errors.
-const MIN_SHORTFALL_CPUS: f64 = 1e-9;
 /// Maximum number of open intents in the record.
 const MAX_OPEN_INTENTS: usize = 4;
 /// Machines that one request may ask for, by the cloud's protocol.
 const MAX_MACHINES_PER_REQUEST: u32 = 50;
 
-/// Machines of one pool, on-demand or spot: the unit that the cloud sells at one price.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Offer {
-    pool: PoolId,
-    spot: bool,
-}
-
-impl Offer {
-    fn of(intent: &ScaleOutIntent) -> Self {
-        Self { pool: intent.pool(), spot: intent.spot }
-    }
-}
-
-type CpusByOffer = BTreeMap<Offer, f64>;
-
-/// Processors that one waiting job needs.
-struct CpuDemand {
-    /// Processors not yet covered by the supply.
-    cpus: f64,
-    /// Maximum number of processors that the job may use in one zone.
-    max_per_zone: f64,
-    /// Processors of the supply allocated to the job, by zone.
-    allocated_by_zone: BTreeMap<ZoneId, f64>,
-}
-
-impl CpuDemand {
-    fn is_zone_full(&self, zone: &ZoneId) -> bool {
-        self.allocated_by_zone.get(zone).is_some_and(|allocated| *allocated >= self.max_per_zone)
-    }
-}
-
-/// Processors that all waiting jobs need, and what meets that need.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct DemandTotals {
-    /// How long the job that was accepted first has waited, in seconds.
-    longest_wait_s: f64,
-    /// Processors that the waiting jobs need.
-    needed: f64,
-    /// Of these, what their teams' limits keep from starting.
-    limited: f64,
-    /// Of these, what the supply covers.
-    covered: f64,
-}
-
-/// The shortfall of each offer, largest first, and how it came about.
-#[derive(Debug, Default)]
-struct Shortfalls {
-    by_offer: Vec<(Offer, f64)>,
-    totals: DemandTotals,
-}
-
 /// State of the scale-out role.
 #[derive(Debug, Default)]
 pub(crate) struct ScaleOutState {
-    tracker: ScaleOutTracker,
+    pub tracker: ScaleOutTracker,
     request_counter: u64,
     last_checked: Ms,
     write_in_flight: bool,
@@ -272,177 +216,4 @@
         }
         self.replan_needed = true;
     }
-
-    /// CPU shortfall that existing and requested machines will not cover in time, by the best offer
-    /// for the waiting jobs, largest first. In queue order, each job is allocated what it may use
-    /// of the supply; the rest is its shortfall. (Comparing only the sum over the queue with the
-    /// supply filled the region with machines that the waiting jobs could not use.)
-    fn shortfalls(&self) -> Shortfalls {
-        let mut headroom = self.team_headroom(|cached| self.fraction_still_used(cached));
-        let mut supply = self.supply();
-        let mut shortfalls = CpusByOffer::new();
-        let mut totals = DemandTotals::default();
-        let machine_counts = self.inventory.machine_counts();
-        for QueuedTasks { job: id, tasks: unclaimed, is_growth, .. } in self.queue() {
-            let Some(cached) = self.cache.jobs.get(&id) else { continue };
-            // No machine is requested to retry a job that fails on every machine.
-            let may_use = |offer: &Offer| self.can_run_in(cached, &offer.pool);
-            if is_growth || (self.is_suspect(&id, cached) && supply.keys().any(may_use)) {
-                continue;
-            }
-            let mut demand = self.cpu_demand(cached, unclaimed);
-            totals.longest_wait_s = totals.longest_wait_s.max(self.waited_s(cached));
-            totals.needed += demand.cpus;
-            // Nor for tasks that the team's limit keeps from starting.
-            if let Some(headroom) = headroom.get_mut(&cached.record.spec.team) {
-                let startable = demand.cpus.min(*headroom).max(0.0);
-                totals.limited += demand.cpus - startable;
-                demand.cpus = startable;
-                *headroom -= startable;
-            }
-            let startable = demand.cpus;
-            self.allocate_supply(cached, &mut demand, &mut supply);
-            totals.covered += startable - demand.cpus;
-            if demand.cpus > MIN_SHORTFALL_CPUS {
-                if let Some(offer) = self.best_offer(cached, &shortfalls, &demand, &machine_counts)
-                {
-                    *shortfalls.entry(offer).or_default() += demand.cpus;
-                }
-            }
-        }
-        let mut by_offer: Vec<(Offer, f64)> = shortfalls.into_iter().collect();
-        by_offer.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
-        Shortfalls { by_offer, totals }
-    }
-
-    /// How long ago a job was accepted, in seconds.
-    fn waited_s(&self, cached: &CachedJob) -> f64 {
-        self.wall_ms.saturating_sub(cached.record.accepted_ms) as f64 / 1000.0
-    }
-
-    /// The expected fraction of its processors that a running job still uses when the waiting jobs
-    /// need them.
-    fn fraction_still_used(&self, cached: &CachedJob) -> f64 {
-        (0.5 * cached.record.spec.estimate_s / self.cfg.usual_wait_s).min(1.0)
-    }
-
-    /// Processors of existing machines, less those that their tasks will still use, and of
-    /// requested machines.
-    fn supply(&self) -> CpusByOffer {
-        let mut supply = CpusByOffer::new();
-        for (id, m) in &self.inventory.machines {
-            // A machine that another controller has deleted is no supply: without this check it
-            // would count for another 50 s and delay the request for its replacement by as much.
-            if !m.is_schedulable() || !self.may_still_exist(m) {
-                continue;
-            }
-            let mut free =
-                self.inventory.machine_resources(&m.pool.machine_type).cpus as f64 / 1000.0;
-            for ((job, _), _) in self.cache.claims.get(id).into_iter().flatten() {
-                if let Some(cached) = self.cache.jobs.get(job) {
-                    free -= cached.record.spec.cpus * self.fraction_still_used(cached);
-                }
-            }
-            let offer = Offer { pool: m.pool.clone(), spot: m.spot };
-            *supply.entry(offer).or_default() += free.max(0.0);
-        }
-        // Recorded intents count as supply, whichever controller wrote them.
-        for intent in self.scale_out.tracker.pending(&self.cache.scale_out_intents.value) {
-            let machine_type = self.inventory.types.get(&intent.machine_type);
-            let cpus = machine_type.map_or(0.0, |t| t.cpus) * f64::from(intent.count);
-            *supply.entry(Offer::of(intent)).or_default() += cpus;
-        }
-        supply
-    }
-
-    /// Processors that a job needs to start its unclaimed tasks in time.
-    fn cpu_demand(&self, cached: &CachedJob, unclaimed: u32) -> CpuDemand {
-        let spec = &cached.record.spec;
-        let target_wait_s = (self.slack_s(cached) * 0.8).clamp(5.0, 120.0);
-        let run_s = if spec.kind == Kind::Array { spec.estimate_s.max(1.0) } else { target_wait_s };
-        let all_cpus = f64::from(unclaimed) * spec.cpus;
-        // Of a spread job, each zone may run only half.
-        let max_per_zone = if spec.spread { all_cpus / 2.0 + spec.cpus } else { f64::INFINITY };
-        let cpus = all_cpus.min(all_cpus * run_s / target_wait_s).max(spec.cpus);
-        CpuDemand { cpus, max_per_zone, allocated_by_zone: BTreeMap::new() }
-    }
-
-    /// Allocates to a job what it may use of the supply.
-    fn allocate_supply(
-        &self,
-        cached: &CachedJob,
-        demand: &mut CpuDemand,
-        supply: &mut CpusByOffer,
-    ) {
-        for (offer, free) in supply {
-            if (offer.spot && !cached.record.spec.spot) || !self.can_run_in(cached, &offer.pool) {
-                continue;
-            }
-            let allocated_in_zone =
-                demand.allocated_by_zone.entry(offer.pool.zone.clone()).or_default();
-            let allocated =
-                demand.cpus.min(*free).min(demand.max_per_zone - *allocated_in_zone).max(0.0);
-            *free -= allocated;
-            *allocated_in_zone += allocated;
-            demand.cpus -= allocated;
-        }
-    }
-
-    /// How long the tasks of a job may still wait if the job is to meet its service level
-    /// objectives.
-    fn slack_s(&self, cached: &CachedJob) -> f64 {
-        let spec = &cached.record.spec;
-        let objectives =
-            self.cfg.objectives.iter().filter(|objective| objective.class == spec.class);
-        let waits = objectives.filter_map(|objective| match objective.kind {
-            ObjectiveKind::Finished(within) => Some(within - spec.estimate_s),
-            ObjectiveKind::Deadline(times) => spec.deadline_s.map(|d| d * times - spec.estimate_s),
-            ObjectiveKind::Wait(within) => Some(within),
-        });
-        waits.min_by(f64::total_cmp).unwrap_or(self.cfg.usual_wait_s) - self.waited_s(cached)
-    }
-
-    /// The best offer for a job, by price per processor, boot time and how many of the machines are
-    /// already in that pool.
-    fn best_offer(
-        &self,
-        cached: &CachedJob,
-        shortfalls: &CpusByOffer,
-        demand: &CpuDemand,
-        machine_counts: &BTreeMap<&PoolId, usize>,
-    ) -> Option<Offer> {
-        let mut best: Option<(f64, Offer)> = None;
-        let machine_count = self.inventory.machines.len().max(1) as f64;
-        for pool in self.inventory.pools() {
-            let Some(machine_type) = self.inventory.types.get(&pool.machine_type) else { continue };
-            if demand.is_zone_full(&pool.zone)
-                || machine_type.cpus <= 0.0
-                || !self.can_run_in(cached, &pool)
-            {
-                continue;
-            }
-            for spot in [true, false] {
-                let offer = Offer { pool: pool.clone(), spot };
-                let intents = &self.cache.scale_out_intents.value;
-                let is_refused = intents.is_refused(&pool, spot, self.wall_ms)
-                    || self.scale_out.tracker.has_shortfall(intents, &pool, spot);
-                if (spot && !cached.record.spec.spot) || is_refused {
-                    continue;
-                }
-                let price = if spot { machine_type.spot_price } else { machine_type.price };
-                let concentration = 1.0
-                    + 0.5 * machine_counts.get(&pool).copied().unwrap_or(0) as f64 / machine_count;
-                let mut cost =
-                    price / machine_type.cpus * (1.0 + machine_type.boot_s / 60.0) * concentration;
-                if shortfalls.contains_key(&offer) {
-                    // Prefer an offer that is requested for other jobs anyway.
-                    cost *= 0.9;
-                }
-                if best.as_ref().is_none_or(|b| cost < b.0) {
-                    best = Some((cost, offer));
-                }
-            }
-        }
-        best.map(|(_, offer)| offer)
-    }
 }
