--- a/crates/cleatfold-backfill/src/resources.rs
+++ b/crates/cleatfold-backfill/src/resources.rs
@@ -2,8 +2,9 @@
 
 use std::ops::{Add, AddAssign, Sub, SubAssign};
 
-/// Resources that a machine provides or a task requires.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Resources that a machine provides or a task requires. The order is that of a key in a map: use
+/// `is_within` to compare amounts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Resources {
     /// Processors, in thousandths.
     pub cpus: i64,
--- a/crates/cleatfold-control/src/machines/shortfall.rs
+++ b/crates/cleatfold-control/src/machines/shortfall.rs
@@ -3,11 +3,13 @@
 
 use crate::config::ObjectiveKind;
 use crate::controller::Controller;
+use crate::scheduling::occupancy::RunTime;
 use crate::scheduling::queue::QueuedTasks;
 use crate::store::cache::CachedJob;
+use cleatfold_backfill::Resources;
 use cleatfold_roles::ScaleOutIntent;
 use cleatfold_wire::job::Kind;
-use cleatfold_wire::{PoolId, ZoneId};
+use cleatfold_wire::{MachineId, PoolId, ZoneId};
 use std::collections::BTreeMap;
 
 /// Smaller shortfalls are rounding errors.
@@ -28,6 +30,24 @@
 
 type CpusByOffer = BTreeMap<Offer, f64>;
 
+/// Machines that are alike for the jobs that wait.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct MachineGroup {
+    offer: Offer,
+    /// What each machine has beside the tasks that hold it until their job is cancelled.
+    remainder: Resources,
+}
+
+/// What waiting jobs may use of a group of machines.
+#[derive(Clone, Copy, Debug, Default)]
+struct GroupSupply {
+    machines: u32,
+    /// Processors, less those that running tasks will still use.
+    free_cpus: f64,
+}
+
+type Supply = BTreeMap<MachineGroup, GroupSupply>;
+
 /// Processors that one waiting job needs.
 struct CpuDemand {
     /// Processors not yet covered by the supply.
@@ -70,7 +90,8 @@
     /// of the supply; the rest is its shortfall. (Comparing only the sum over the queue with the
     /// supply filled the region with machines that the waiting jobs could not use.)
     pub(crate) fn shortfalls(&self) -> Shortfalls {
-        let mut headroom = self.team_headroom(|cached| self.fraction_still_used(cached));
+        let mut headroom =
+            self.team_headroom(|cached| self.fraction_still_used(cached.mean_remaining_time()));
         let mut supply = self.supply();
         let mut shortfalls = CpusByOffer::new();
         let mut totals = DemandTotals::default();
@@ -78,8 +99,8 @@
         for QueuedTasks { job: id, tasks: unclaimed, is_growth, .. } in self.queue() {
             let Some(cached) = self.cache.jobs.get(&id) else { continue };
             // No machine is requested to retry a job that fails on every machine.
-            let may_use = |offer: &Offer| self.can_run_in(cached, &offer.pool);
-            if is_growth || (self.is_suspect(&id, cached) && supply.keys().any(may_use)) {
+            let has_room = || supply.keys().any(|group| self.fits_into(cached, group));
+            if is_growth || (self.is_suspect(&id, cached) && has_room()) {
                 continue;
             }
             let mut demand = self.cpu_demand(cached, unclaimed);
@@ -87,13 +108,14 @@
             totals.needed += demand.cpus;
             // Nor for tasks that the team's limit keeps from starting.
             if let Some(headroom) = headroom.get_mut(&cached.record.spec.team) {
-                let startable = demand.cpus.min(*headroom).max(0.0);
+                let fits_one = *headroom + MIN_SHORTFALL_CPUS >= cached.record.spec.cpus;
+                let startable = if fits_one { demand.cpus.min(*headroom) } else { 0.0 };
                 totals.limited += demand.cpus - startable;
                 demand.cpus = startable;
                 *headroom -= startable;
             }
             let startable = demand.cpus;
-            self.allocate_supply(cached, &mut demand, &mut supply);
+            self.allocate_supply(cached, unclaimed, &mut demand, &mut supply);
             totals.covered += startable - demand.cpus;
             if demand.cpus > MIN_SHORTFALL_CPUS {
                 if let Some(offer) = self.best_offer(cached, &shortfalls, &demand, &machine_counts)
@@ -112,46 +134,70 @@
         self.wall_ms.saturating_sub(cached.record.accepted_ms) as f64 / 1000.0
     }
 
-    /// The expected fraction of its processors that a running job still uses when the waiting jobs
+    /// The expected fraction of its resources that a running task still uses when the waiting jobs
     /// need them.
-    fn fraction_still_used(&self, cached: &CachedJob) -> f64 {
-        (0.5 * cached.record.spec.estimate_s / self.cfg.usual_wait_s).min(1.0)
+    fn fraction_still_used(&self, remaining: RunTime) -> f64 {
+        remaining.fraction_of(self.cfg.usual_wait_s)
     }
 
-    /// Processors of existing machines, less those that their tasks will still use, and of
-    /// requested machines.
-    fn supply(&self) -> CpusByOffer {
-        let mut supply = CpusByOffer::new();
+    /// What existing machines, and those that are requested, have for the waiting jobs.
+    fn supply(&self) -> Supply {
+        let mut supply = Supply::new();
+        let allocations = self.permanent_allocations();
         for (id, m) in &self.inventory.machines {
             // A machine that another controller has deleted is no supply: without this check it
             // would count for another 50 s and delay the request for its replacement by as much.
             if !m.is_schedulable() || !self.may_still_exist(m) {
                 continue;
             }
-            let mut free =
-                self.inventory.machine_resources(&m.pool.machine_type).cpus as f64 / 1000.0;
-            for ((job, _), _) in self.cache.claims.get(id).into_iter().flatten() {
-                if let Some(cached) = self.cache.jobs.get(job) {
-                    free -= cached.record.spec.cpus * self.fraction_still_used(cached);
-                }
-            }
-            let offer = Offer { pool: m.pool.clone(), spot: m.spot };
-            *supply.entry(offer).or_default() += free.max(0.0);
+            let total = self.inventory.machine_resources(&m.pool.machine_type);
+            let group = MachineGroup {
+                offer: Offer { pool: m.pool.clone(), spot: m.spot },
+                remainder: allocations.remainder(id, total),
+            };
+            let known = supply.entry(group).or_default();
+            known.machines += 1;
+            known.free_cpus += (total.cpus as f64 / 1000.0 - self.cpus_still_used(id)).max(0.0);
         }
         // Recorded intents count as supply, whichever controller wrote them.
         for intent in self.scale_out.tracker.pending(&self.cache.scale_out_intents.value) {
-            let machine_type = self.inventory.types.get(&intent.machine_type);
-            let cpus = machine_type.map_or(0.0, |t| t.cpus) * f64::from(intent.count);
-            *supply.entry(Offer::of(intent)).or_default() += cpus;
+            let total = self.inventory.machine_resources(&intent.machine_type);
+            let group = MachineGroup { offer: Offer::of(intent), remainder: total };
+            let requested = supply.entry(group).or_default();
+            requested.machines += intent.count;
+            requested.free_cpus += total.cpus as f64 / 1000.0 * f64::from(intent.count);
         }
         supply
     }
 
+    /// Processors that the tasks on a machine will still use when the waiting jobs need them.
+    fn cpus_still_used(&self, id: &MachineId) -> f64 {
+        let mut used = 0.0;
+        for ((job, task), _) in self.cache.claims.get(id).into_iter().flatten() {
+            let Some(cached) = self.cache.jobs.get(job) else { continue };
+            let remaining = cached.mean_remaining_time_of(*task);
+            used += cached.record.spec.cpus * self.fraction_still_used(remaining);
+        }
+        used
+    }
+
+    /// Whether a task of the job can run on the group's machines, once the tasks there that have an
+    /// end have ended.
+    fn fits_into(&self, cached: &CachedJob, group: &MachineGroup) -> bool {
+        (cached.record.spec.spot || !group.offer.spot)
+            && self.can_run_in(cached, &group.offer.pool)
+            && group.remainder.fits_one(&cached.task_resources)
+    }
+
     /// Processors that a job needs to start its unclaimed tasks in time.
     fn cpu_demand(&self, cached: &CachedJob, unclaimed: u32) -> CpuDemand {
         let spec = &cached.record.spec;
         let target_wait_s = (self.slack_s(cached) * 0.8).clamp(5.0, 120.0);
-        let run_s = if spec.kind == Kind::Array { spec.estimate_s.max(1.0) } else { target_wait_s };
+        // The tasks of a gang run at the same time, and replicas make no room for one another.
+        let run_s = match cached.run_time() {
+            RunTime::Ms(ms) if spec.kind == Kind::Array => (ms as f64 / 1000.0).max(1.0),
+            _ => target_wait_s,
+        };
         let all_cpus = f64::from(unclaimed) * spec.cpus;
         // Of a spread job, each zone may run only half.
         let max_per_zone = if spec.spread { all_cpus / 2.0 + spec.cpus } else { f64::INFINITY };
@@ -163,18 +209,28 @@
     fn allocate_supply(
         &self,
         cached: &CachedJob,
+        unclaimed: u32,
         demand: &mut CpuDemand,
-        supply: &mut CpusByOffer,
+        supply: &mut Supply,
     ) {
-        for (offer, free) in supply {
-            if (offer.spot && !cached.record.spec.spot) || !self.can_run_in(cached, &offer.pool) {
+        for (group, GroupSupply { machines, free_cpus }) in supply {
+            if demand.cpus <= 0.0 {
+                return;
+            }
+            if !self.fits_into(cached, group) {
                 continue;
             }
+            let tasks = group.remainder.fitting_tasks(&cached.task_resources, unclaimed);
+            let usable_cpus = f64::from(tasks) * f64::from(*machines) * cached.record.spec.cpus;
             let allocated_in_zone =
-                demand.allocated_by_zone.entry(offer.pool.zone.clone()).or_default();
-            let allocated =
-                demand.cpus.min(*free).min(demand.max_per_zone - *allocated_in_zone).max(0.0);
-            *free -= allocated;
+                demand.allocated_by_zone.entry(group.offer.pool.zone.clone()).or_default();
+            let allocated = demand
+                .cpus
+                .min(*free_cpus)
+                .min(usable_cpus)
+                .min(demand.max_per_zone - *allocated_in_zone)
+                .max(0.0);
+            *free_cpus -= allocated;
             *allocated_in_zone += allocated;
             demand.cpus -= allocated;
         }
--- a/crates/cleatfold-control/src/scheduling/planning.rs
+++ b/crates/cleatfold-control/src/scheduling/planning.rs
@@ -7,6 +7,7 @@
 use crate::machines::inventory::Machine;
 use crate::quota::{BindingLimit, Usage};
 use crate::scheduling::evictions::YIELD_GRACE_MS;
+use crate::scheduling::occupancy::RunTime;
 use crate::scheduling::queue::QueuedTasks;
 use crate::store::cache::CachedJob;
 use cleatfold_backfill::profile::FOREVER;
@@ -273,17 +274,6 @@
         }
     }
 
-    /// How long a task of the job runs by its estimate; an elastic member until the steps are done.
-    fn estimated_run_ms(&self, cached: &CachedJob) -> u64 {
-        if cached.record.spec.kind == Kind::Service {
-            return FOREVER;
-        }
-        if let Some(width) = cached.width() {
-            return width.remaining_ms(cached.claimed.max(width.base_members()));
-        }
-        (cached.record.spec.estimate_s * 1000.0) as u64
-    }
-
     /// When a claimed task is expected to end. A task past its estimate is expected to run on for a
     /// fifth of its run time so far, at least two seconds.
     fn expected_end(
@@ -294,10 +284,7 @@
         cached: &CachedJob,
         job_state: Option<&LocalJobState>,
     ) -> Ms {
-        let run_ms = self.estimated_run_ms(cached);
-        if run_ms >= FOREVER {
-            return Ms(FOREVER);
-        }
+        let RunTime::Ms(run_ms) = cached.run_time() else { return Ms(FOREVER) };
         if let Some(eviction) = self.evictions.get(machine_id, job, ix) {
             return eviction.free_at.max(self.now.plus(200));
         }
@@ -382,7 +369,7 @@
                 run_ms: cached
                     .width()
                     .filter(|_| *is_growth)
-                    .map_or(self.estimated_run_ms(cached), |w| w.step_ms),
+                    .map_or(cached.run_time().ms(), |w| w.step_ms),
                 image: spec.image.clone(),
                 image_gb: spec.image_gb,
                 spot: spec.spot,
--- /dev/null
+++ b/crates/cleatfold-control/tests/services.rs
@@ -0,0 +1,117 @@
+//! Services hold their resources until they are cancelled, although their estimated run time is 0: whatever reads the
+//! estimate must not take their machines for free.
+
+mod scenario;
+
+use cleatfold_testbed::world::{team_id, Size, World, CONTROLLERS};
+use cleatfold_wire::job::{Elastic, JobSpec, Kind};
+use cleatfold_wire::*;
+use scenario::{assert_all_jobs_end, cancel, plain_job, region, run_for};
+
+/// A job waits at most so long for its start: less than the 90 s of the operators' rule, and time enough to boot a
+/// machine several times.
+const START_WITHIN_MS: u64 = 60_000;
+
+fn running(world: &World, job: &JobId) -> usize {
+    world.running.keys().filter(|task| task.job == *job).count()
+}
+
+fn run_until_started(world: &mut World, job: &JobId, tasks: usize, within_ms: u64, what: &str) {
+    let from = world.now;
+    while running(world, job) < tasks {
+        let waited_ms = world.now.since(from);
+        assert!(waited_ms < within_ms, "{what}: {} of {tasks} tasks run", running(world, job));
+        run_for(world, 100);
+        assert!(world.broken.is_empty(), "{what}: {:#?}", world.broken);
+    }
+}
+
+fn service(world: &mut World, replicas: u32, cpus: f64, memory_gb: f64) -> JobSpec {
+    let mut spec = plain_job(world, replicas, 0.0);
+    (spec.kind, spec.cpus, spec.memory_gb, spec.spot) = (Kind::Service, cpus, memory_gb, false);
+    spec
+}
+
+/// Submits a service and waits until all of its replicas run.
+fn start_service(world: &mut World, spec: JobSpec) -> JobId {
+    let replicas = spec.tasks as usize;
+    let job = world.submit(0, spec);
+    run_until_started(world, &job, replicas, START_WITHIN_MS, "the service");
+    job
+}
+
+fn ready_region(seed: u64, machines: usize) -> World {
+    let mut world = region(seed, machines);
+    run_for(&mut world, 4_000);
+    world
+}
+
+fn end_services(world: &mut World, services: &[JobId], context: &str) {
+    services.iter().for_each(|job| cancel(world, 1, job));
+    assert_all_jobs_end(world, 120_000, context);
+}
+
+/// Guards against machines that services fill passing for supply: the job that waited never ran, and no machine was
+/// requested for it. Services leave fewer processors, or less memory, than one of its tasks needs.
+#[test]
+fn machine_is_requested_where_services_fill_the_others() {
+    let cases = [("processors", 8.0, 1.0), ("fragments", 5.0, 1.0), ("memory", 1.0, 30.0)];
+    for (seed, (what, cpus, memory_gb)) in (1..).zip(cases) {
+        let mut world = ready_region(seed, 12);
+        let spec = service(&mut world, 4, cpus, memory_gb);
+        let service = start_service(&mut world, spec);
+        let mut spec = plain_job(&mut world, 2, 6.0);
+        (spec.cpus, spec.memory_gb) = (4.0, 4.0);
+        let job = world.submit(seed as usize % CONTROLLERS, spec);
+        run_until_started(&mut world, &job, 1, START_WITHIN_MS, what);
+        end_services(&mut world, &[service], what);
+    }
+}
+
+/// Guards against a service whose replicas count as supply for its own remaining replicas: a second service was never
+/// started beside the first.
+#[test]
+fn machine_is_requested_for_second_service() {
+    let mut world = ready_region(5, 12);
+    let spec = service(&mut world, 3, 8.0, 1.0);
+    let first = start_service(&mut world, spec);
+    let spec = service(&mut world, 3, 8.0, 1.0);
+    let second = start_service(&mut world, spec);
+    end_services(&mut world, &[first, second], "two services");
+}
+
+/// Guards against the members that an elastic job needs at least passing for supply, whatever its estimate says: its
+/// run time follows from its steps.
+#[test]
+fn machine_is_requested_where_elastic_job_fills_the_others() {
+    let mut world = ready_region(6, 12);
+    let mut spec = plain_job(&mut world, 4, 0.0);
+    (spec.cpus, spec.spot) = (8.0, false);
+    spec.elastic = Some(Elastic { steps: 200, min_members: 4, step_s: 5.0 });
+    let elastic = world.submit(0, spec);
+    run_until_started(&mut world, &elastic, 4, START_WITHIN_MS, "the elastic job");
+    let spec = plain_job(&mut world, 2, 6.0);
+    let job = world.submit(1, spec);
+    run_until_started(&mut world, &job, 1, START_WITHIN_MS, "the job beside it");
+    end_services(&mut world, &[elastic], "an elastic job");
+}
+
+/// Guards against a service that counts as using nothing of its team's limit: machines were requested again and again
+/// for tasks that the limit kept from starting.
+#[test]
+fn no_machine_is_requested_beyond_limit_that_service_uses() {
+    let mut world = ready_region(7, 12);
+    let limit = Size::SMALL.limit_cpus;
+    let mut spec = service(&mut world, 3, limit / 3.0, 1.0);
+    spec.team = team_id(1);
+    let service = start_service(&mut world, spec);
+    let mut spec = plain_job(&mut world, 4, 6.0);
+    (spec.team, spec.cpus) = (team_id(1), 4.0);
+    world.submit(1, spec);
+    // Requests that were made before the service had all of its replicas.
+    run_for(&mut world, 2_000);
+    let requests = world.cloud.scale_out_log.len();
+    run_for(&mut world, 120_000);
+    assert_eq!(world.cloud.scale_out_log.len(), requests, "machines for tasks beyond the limit");
+    end_services(&mut world, &[service], "a team's limit");
+}
