Pools full of services are not the least loaded ones

Callers saw a background job wait beside a machine with room while services filled other pools. Cause: the load of a pool was taken from estimates, which are 0 for services, so full pools had no load and the job was assigned to them alone. Processors that services hold no longer count as the pool's, and pools where a task of the job can start are preferred.

Before: background_job_starts_beside_pools_that_services_fill 'processors: 0 of 1 tasks run' after 60 s. Now it passes.

--- a/crates/cleatfold-control/src/leadership/pool_assignment.rs
+++ b/crates/cleatfold-control/src/leadership/pool_assignment.rs
@@ -5,10 +5,12 @@
 
 use crate::controller::{Controller, Pending};
 use crate::effects::{CallPriority, StoreReply, StoreRequest};
+use crate::scheduling::occupancy::RunTime;
 use crate::scheduling::queue::QueuedTasks;
-use crate::store::cache::Versioned;
+use crate::store::cache::{CachedJob, Versioned};
 use crate::store::records::{pool_key, ControllerRecord, HolderRecord};
 use cleatfold_backfill::pools::{choose_pools, PoolLoad};
+use cleatfold_backfill::Resources;
 use cleatfold_roles::Role;
 use cleatfold_wire::job::Kind;
 use cleatfold_wire::mesh::Message;
@@ -29,6 +31,27 @@
 /// The controller in the pool's own zone is preferred up to this multiple of the average load.
 const MAX_SAME_ZONE_LOAD_RATIO: f64 = 1.3;
 
+/// What the machines of a pool have beside the tasks that hold it until their job is cancelled.
+#[derive(Clone, Debug, Default)]
+struct PoolRoom {
+    /// Each amount once, with whether it is on a spot machine.
+    remainders: BTreeSet<(bool, Resources)>,
+}
+
+impl PoolRoom {
+    fn add(&mut self, spot: bool, remainder: Resources) {
+        self.remainders.insert((spot, remainder));
+    }
+
+    /// Whether a task of the job can start on one of the machines, at the latest when other tasks
+    /// end.
+    fn has_room_for(&self, cached: &CachedJob) -> bool {
+        self.remainders.iter().any(|(spot, remainder)| {
+            (cached.record.spec.spot || !spot) && remainder.fits_one(&cached.task_resources)
+        })
+    }
+}
+
 /// A pool that needs a new owner.
 struct PoolToAssign<'a> {
     pool: &'a PoolId,
@@ -348,29 +371,41 @@
 
     // ---- jobs ----
 
-    /// Assigns each job of the queue to the `pool_count` least loaded pools that can run it.
-    fn assign_jobs(&mut self) {
-        self.leadership.jobs_assigned_at = self.now;
-        let pools = self.inventory.pools();
-        let index: BTreeMap<&PoolId, usize> =
-            pools.iter().enumerate().map(|(i, p)| (p, i)).collect();
+    /// The load of each pool by the tasks that run there, and what its machines have room for.
+    fn pool_loads(
+        &self,
+        pools: &[PoolId],
+        index: &BTreeMap<&PoolId, usize>,
+    ) -> (Vec<PoolLoad>, Vec<PoolRoom>) {
         let mut loads = vec![PoolLoad { work: 0.0, processors: 0.0 }; pools.len()];
-        for m in self.inventory.machines.values() {
-            if !m.is_schedulable() {
-                continue;
-            }
-            if let Some(&i) = index.get(&m.pool) {
-                loads[i].processors +=
-                    self.inventory.machine_resources(&m.pool.machine_type).cpus as f64 / 1000.0;
-            }
+        let mut room = vec![PoolRoom::default(); pools.len()];
+        let allocations = self.permanent_allocations();
+        for (id, m) in self.inventory.machines.iter().filter(|(_, m)| m.is_schedulable()) {
+            let Some(&i) = index.get(&m.pool) else { continue };
+            let total = self.inventory.machine_resources(&m.pool.machine_type);
+            let remainder = allocations.remainder(id, total);
+            loads[i].processors += remainder.cpus.max(0) as f64 / 1000.0;
+            room[i].add(m.spot, remainder);
         }
         for (id, cached) in &self.cache.jobs {
+            // The processors of tasks without an end are not counted above.
+            let RunTime::Ms(remaining_ms) = cached.mean_remaining_time() else { continue };
+            let work_per_task = remaining_ms as f64 / 1000.0 * cached.record.spec.cpus;
             for group in self.cache.tables(id).flat_map(|t| &t.claims) {
                 let Some(&i) = index.get(&group.pool) else { continue };
-                let spec = &cached.record.spec;
-                loads[i].work += 0.5 * spec.estimate_s * spec.cpus * group.tasks.len() as f64;
+                loads[i].work += work_per_task * group.tasks.len() as f64;
             }
         }
+        (loads, room)
+    }
+
+    /// Assigns each job of the queue to the `pool_count` least loaded pools that can run it.
+    fn assign_jobs(&mut self) {
+        self.leadership.jobs_assigned_at = self.now;
+        let pools = self.inventory.pools();
+        let index: BTreeMap<&PoolId, usize> =
+            pools.iter().enumerate().map(|(i, p)| (p, i)).collect();
+        let (mut loads, room) = self.pool_loads(&pools, &index);
         let queue = self.queue();
         let long_work = self.long_work();
         let has_planner: Vec<bool> = pools.iter().map(|p| self.has_live_owner(p)).collect();
@@ -385,8 +420,14 @@
                 continue;
             }
             let usable = || (0..pools.len()).filter(|&i| self.can_run_in(cached, &pools[i]));
-            // Prefer pools with a live owner, which plans for them.
-            let mut eligible: Vec<usize> = usable().filter(|&i| has_planner[i]).collect();
+            // Prefer pools with a live owner, which plans for them, and of those the pools in which
+            // a task can ever start.
+            let planned: Vec<usize> = usable().filter(|&i| has_planner[i]).collect();
+            let mut eligible: Vec<usize> =
+                planned.iter().copied().filter(|&i| room[i].has_room_for(cached)).collect();
+            if eligible.is_empty() {
+                eligible = planned;
+            }
             if eligible.is_empty() {
                 eligible = usable().collect();
             }
@@ -397,7 +438,11 @@
                 .flat_map(|state| state.assigned_pools.iter().filter_map(|p| index.get(p).copied()))
                 .collect();
             let spec = &cached.record.spec;
-            let work = spec.estimate_s.max(1.0) * spec.cpus * f64::from(*unclaimed);
+            let run_s = match cached.run_time() {
+                RunTime::Ms(ms) => (ms as f64 / 1000.0).max(1.0),
+                RunTime::UntilCancelled => self.cfg.usual_wait_s,
+            };
+            let work = run_s * spec.cpus * f64::from(*unclaimed);
             // Services and spread jobs need several zones. Long tasks may use only a part of each
             // pool, so their jobs are assigned to all pools.
             let pool_count = if long_work.is_long(spec) {
--- a/crates/cleatfold-control/tests/services.rs
+++ b/crates/cleatfold-control/tests/services.rs
@@ -4,7 +4,7 @@
 mod scenario;
 
 use cleatfold_testbed::world::{team_id, Size, World, CONTROLLERS};
-use cleatfold_wire::job::{Elastic, JobSpec, Kind};
+use cleatfold_wire::job::{Elastic, JobSpec, Kind, Urgency};
 use cleatfold_wire::*;
 use scenario::{assert_all_jobs_end, cancel, plain_job, region, run_for};
 
@@ -115,3 +115,34 @@
     assert_eq!(world.cloud.scale_out_log.len(), requests, "machines for tasks beyond the limit");
     end_services(&mut world, &[service], "a team's limit");
 }
+
+/// Guards against pools that services fill counting as the least loaded ones: a background job was assigned to them
+/// alone, and waited beside a machine with room in another pool.
+#[test]
+fn background_job_starts_beside_pools_that_services_fill() {
+    for (what, cpus, memory_gb) in [("processors", 8.0, 1.0), ("memory", 1.0, 32.0)] {
+        let mut world = ready_region(8, 12);
+        let mut services = Vec::new();
+        for zone in ["a", "b"] {
+            let mut spec = service(&mut world, 1, cpus, memory_gb);
+            spec.zone = Some(ZoneId::new(zone));
+            spec.types = Some(vec![TypeId::new("small")]);
+            services.push(start_service(&mut world, spec));
+        }
+        // A machine of the third zone is half free, beside tasks that run for long.
+        let mut spec = plain_job(&mut world, 1, 300.0);
+        (spec.cpus, spec.zone, spec.spot) = (4.0, Some(ZoneId::new("c")), false);
+        let long = world.submit(0, spec);
+        run_until_started(&mut world, &long, 1, START_WITHIN_MS, "the long task");
+        // Until idle machines are returned.
+        run_for(&mut world, 40_000);
+        world.cloud.capacity = world.cloud.machines.len();
+        assert_eq!(world.cloud.capacity, 3, "{what}: a machine in each zone");
+        let mut spec = plain_job(&mut world, 1, 6.0);
+        (spec.urgency, spec.spot) = (Urgency::BestEffort, false);
+        let job = world.submit(1, spec);
+        run_until_started(&mut world, &job, 1, START_WITHIN_MS, what);
+        services.push(long);
+        end_services(&mut world, &services, what);
+    }
+}
