A waiting service may preempt what a long job may

Callers saw a service within its team's guarantee wait until background work had ended. Cause: a victim may lose a quarter of the waiting task's run time, and that was read from the estimate, which is 0 for a service.

Before: service_within_guarantee_preempts_background_work 'the service: 0 of 1 tasks run' after 60 s. Now it passes.

--- a/crates/cleatfold-control/src/scheduling/preemption.rs
+++ b/crates/cleatfold-control/src/scheduling/preemption.rs
@@ -146,7 +146,8 @@
         // may lose a quarter of the waiting task's run time at most. Bounded by the whole run time,
         // preemption cost the deployment `kerbrev` 0.03 on its rough days; by a quarter, nothing.
         let max_loss = if preempts {
-            (spec.estimate_s * 250.0) as u64 * cached.task_resources.cpus.max(1) as u64 / 1000
+            let max_loss_ms = cached.run_time().ms() / 4;
+            max_loss_ms.saturating_mul(cached.task_resources.cpus.max(1) as u64) / 1000
         } else {
             u64::MAX
         };
--- a/crates/cleatfold-control/tests/services.rs
+++ b/crates/cleatfold-control/tests/services.rs
@@ -146,3 +146,22 @@
         end_services(&mut world, &services, what);
     }
 }
+
+/// Guards against a service for whose start no task may lose any progress: it waited within its team's guarantee until
+/// the background work on the machine had ended.
+#[test]
+fn service_within_guarantee_preempts_background_work() {
+    let mut world = ready_region(9, 1);
+    let mut spec = plain_job(&mut world, 2, 300.0);
+    (spec.team, spec.urgency, spec.cpus) = (team_id(1), Urgency::BestEffort, 4.0);
+    spec.image = ImageId::new("i1");
+    let background = world.submit(0, spec);
+    run_until_started(&mut world, &background, 2, START_WITHIN_MS, "the background work");
+    run_for(&mut world, 10_000);
+    let mut spec = service(&mut world, 1, 4.0, 1.0);
+    // The only machine may be a spot machine.
+    (spec.image, spec.spot) = (ImageId::new("i1"), true);
+    let service = world.submit(1, spec);
+    run_until_started(&mut world, &service, 1, START_WITHIN_MS, "the service");
+    end_services(&mut world, &[service, background], "preemption");
+}
