Services are not work by size under overload, and hold capacity

Cause: the overload quota goes by estimated work, and a service's estimate is 0. Its processors counted as capacity for the waiting work, it counted as the smallest job of its class, in the queue and in the meter, and filled the minimum that is there for small batch jobs. The groups' demand left services out already; has_estimated_work now says so for all of it.

--- a/crates/cleatfold-control/src/admission/overload.rs
+++ b/crates/cleatfold-control/src/admission/overload.rs
@@ -5,7 +5,9 @@
 //! read the newest quota is safe: claims are guarded as always. The write is guarded by the key of
 //! the writer's role, so a former holder of the role cannot overwrite the quota of the current one.
 
-use crate::admission::state::{estimated_cpu_s, LongWork, MEASUREMENT_INTERVAL_MS, SETTLED_MS};
+use crate::admission::state::{
+    estimated_cpu_s, has_estimated_work, LongWork, MEASUREMENT_INTERVAL_MS, SETTLED_MS,
+};
 use crate::config::ObjectiveKind;
 use crate::controller::{Controller, Pending};
 use crate::effects::{CallPriority, StoreRequest};
@@ -118,7 +120,8 @@
     /// The entry of the job's group in the overload quota, if the group is not served in time.
     pub(crate) fn overload_entry(&self, cached: &CachedJob) -> Option<&QuotaEntry> {
         let overload_quota = &self.cache.overload_quota.value;
-        if overload_quota.is_empty() || cached.width().is_some() || self.cfg.admission.is_none() {
+        if overload_quota.is_empty() || !has_estimated_work(cached) || self.cfg.admission.is_none()
+        {
             return None;
         }
         overload_quota.entry(&cached.record.spec.team, &cached.record.spec.class)
@@ -234,13 +237,15 @@
         long
     }
 
-    /// Processors of the machines that accept tasks and have not missed their lease.
+    /// Processors of the machines that accept tasks and have not missed their lease, less those
+    /// that services hold: work that ends is not served by them.
     fn available_cpus(&self) -> f64 {
+        let allocations = self.permanent_allocations();
         let mut capacity = 0.0;
-        for m in self.inventory.machines.values() {
+        for (id, m) in &self.inventory.machines {
             if m.is_schedulable() && !self.has_missed_lease(m) {
-                capacity +=
-                    self.inventory.machine_resources(&m.pool.machine_type).cpus as f64 / 1000.0;
+                let total = self.inventory.machine_resources(&m.pool.machine_type);
+                capacity += allocations.remainder(id, total).cpus.max(0) as f64 / 1000.0;
             }
         }
         capacity
@@ -298,7 +303,7 @@
         let mut demands: BTreeMap<Group, GroupDemand> = BTreeMap::new();
         for cached in self.cache.jobs.values() {
             let spec = &cached.record.spec;
-            if cached.record.aborted || cached.width().is_some() || spec.kind == Kind::Service {
+            if cached.record.aborted || !has_estimated_work(cached) {
                 continue;
             }
             let group = Group { team: spec.team.clone(), class: spec.class.clone() };
--- a/crates/cleatfold-control/src/admission/state.rs
+++ b/crates/cleatfold-control/src/admission/state.rs
@@ -45,8 +45,11 @@
             let spec = &cached.record.spec;
             let group = Group { team: spec.team.clone(), class: spec.class.clone() };
             let at_s = (cached.record.accepted_ms as f64 / 1000.0).min(wall_s);
-            let work = estimated_cpu_s(spec, spec.tasks);
-            self.meter.record_arrival(&group, at_s, work, spec.tasks, spec.estimate_s);
+            // A service has no size, and would count as the smallest of all jobs.
+            if spec.kind != Kind::Service {
+                let work = estimated_cpu_s(spec, spec.tasks);
+                self.meter.record_arrival(&group, at_s, work, spec.tasks, spec.estimate_s);
+            }
             self.group_urgencies.insert(group, spec.urgency);
         }
     }
@@ -89,6 +92,12 @@
     }
 }
 
+/// Whether the job's estimate says how much work it is. The overload quota orders and limits jobs by
+/// their work; it leaves out services, which have no end, and elastic jobs, whose width changes.
+pub(crate) fn has_estimated_work(cached: &CachedJob) -> bool {
+    cached.record.spec.kind != Kind::Service && cached.width().is_none()
+}
+
 /// Processor-seconds that `tasks` tasks of a job take by its estimate; 0 for a service, which has
 /// no end to estimate.
 pub(crate) fn estimated_cpu_s(spec: &JobSpec, tasks: u32) -> f64 {
@@ -121,3 +130,6 @@
         },
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cleatfold-control/src/scheduling/queue.rs
+++ b/crates/cleatfold-control/src/scheduling/queue.rs
@@ -1,6 +1,6 @@
 //! The order of the queue: which tasks of each job wait for a slot, and which of them go first.
 
-use crate::admission::state::size_class_demand;
+use crate::admission::state::{estimated_cpu_s, size_class_demand};
 use crate::controller::Controller;
 use crate::store::cache::CachedJob;
 use cleatfold_admission::{order, size_classes, QuotaEntry, SizeClass, SizeClassQuota};
@@ -161,7 +161,7 @@
         let spec = &cached.record.spec;
         let class = self.overloaded.entry(&spec.class).or_default();
         class.floors.insert(&spec.team, (entry.floor, entry.sizes.as_ref()));
-        let work = f64::from(spec.tasks) * spec.cpus * spec.estimate_s;
+        let work = estimated_cpu_s(spec, spec.tasks);
         let size_class =
             entry.sizes.as_ref().map_or(SizeClass::Small, |s| s.size_class(work, spec.tasks));
         if let (Some(sizes), Some(larger)) = (&entry.sizes, class.larger_mut(size_class)) {
@@ -187,7 +187,7 @@
         let spec = &cached.record.spec;
         let waiting = order::QueuedJob {
             accepted_ms: job.accepted_ms,
-            remaining_work: f64::from(cached.unclaimed()) * spec.cpus * spec.estimate_s,
+            remaining_work: estimated_cpu_s(spec, cached.unclaimed()),
             started: cached.claimed + cached.done > 0,
         };
         let order_ms = order::sort_time_ms(entry, waiting, self.wall_ms);
--- a/crates/cleatfold-control/src/scheduling/queue/tests.rs
+++ b/crates/cleatfold-control/src/scheduling/queue/tests.rs
@@ -124,3 +124,62 @@
         prop_assert_eq!(order(&second), model(&jobs));
     }
 }
+
+/// Installs a job of the class "class", and returns its id.
+fn install(controller: &mut Controller, n: usize, kind: Kind, accepted_ms: u64) -> JobId {
+    let mut r = record((2, false, 4, 0), n);
+    (r.spec.kind, r.accepted_ms) = (kind, accepted_ms);
+    r.spec.estimate_s = if kind == Kind::Service { 0.0 } else { 10.0 };
+    let id = r.spec.id.clone();
+    controller.cache.install_job(id.clone(), r, Version(10 + n as u64));
+    id
+}
+
+/// A controller under overload: the class "class" is not served in time, and its jobs are useful for a minute.
+fn overloaded_controller(wall_ms: u64) -> Controller {
+    let mut controller = controller("n0");
+    (controller.wall_ms, controller.cfg.admission) = (wall_ms, Some(Default::default()));
+    let entry = QuotaEntry {
+        team: TeamId::new("other"),
+        class: ClassId::new("class"),
+        floor: 8_000,
+        median_work: 40,
+        patience_ms: 60_000,
+        delay_ms: 0,
+        max_new_work: None,
+        sizes: None,
+    };
+    controller.cache.overload_quota.value.entries = vec![entry];
+    controller
+}
+
+/// Guards against a service counting as the smallest of its class's jobs: while it waited, it took the guaranteed minimum
+/// of the small batch jobs.
+#[test]
+fn waiting_service_is_not_promoted_as_smallest_job() {
+    let mut controller = overloaded_controller(1_100_000);
+    let service = install(&mut controller, 1, Kind::Service, 1_099_000);
+    for n in 2..7 {
+        install(&mut controller, n, Kind::Array, 1_099_000);
+    }
+    let order: Vec<JobId> = controller.queue().into_iter().map(|queued| queued.job).collect();
+    let place = order.iter().position(|job| *job == service);
+    // Two batch jobs fill the minimum. The service goes by its acceptance, before the others.
+    assert_eq!(place, Some(2), "{order:?}");
+}
+
+/// Guards against the processors of a service filling the guaranteed minimum of its class's small jobs, which ends with
+/// none of them promoted as long as the service runs.
+#[test]
+fn running_service_does_not_fill_floor_of_small_jobs() {
+    let mut controller = overloaded_controller(1_010_000);
+    let service = install(&mut controller, 1, Kind::Service, 1_000_000);
+    let small = install(&mut controller, 2, Kind::Array, 1_000_000);
+    let urgent = JobId::new("run-999999");
+    let mut r = record((0, false, 4, 0), 3);
+    (r.spec.id, r.spec.class) = (urgent.clone(), ClassId::new("urgent"));
+    controller.cache.install_job(urgent.clone(), r, Version(20));
+    controller.cache.jobs.get_mut(&service).expect("installed").claimed = 4;
+    let order: Vec<JobId> = controller.queue().into_iter().map(|queued| queued.job).collect();
+    assert_eq!(order, vec![small, urgent]);
+}
--- a/crates/cleatfold-control/tests/services.rs
+++ b/crates/cleatfold-control/tests/services.rs
@@ -3,6 +3,8 @@
 
 mod scenario;
 
+use cleatfold_admission::OverloadQuota;
+use cleatfold_control::records::OVERLOAD_QUOTA_KEY;
 use cleatfold_testbed::world::{team_id, Size, World, CONTROLLERS};
 use cleatfold_wire::job::{Elastic, JobSpec, Kind, Urgency};
 use cleatfold_wire::*;
@@ -165,3 +167,32 @@
     run_until_started(&mut world, &service, 1, START_WITHIN_MS, "the service");
     end_services(&mut world, &[service, background], "preemption");
 }
+
+/// Guards against processors that services hold counting as capacity when overload is decided: with three of four
+/// machines full of services, the queue had to grow to four times the bound before it counted as overload.
+#[test]
+fn processors_of_services_are_no_capacity_under_overload() {
+    let mut world = ready_region(10, 12);
+    let spec = service(&mut world, 9, 8.0, 1.0);
+    let service = start_service(&mut world, spec);
+    let capacity = 3.0 * 8.0;
+    let (run_s, patience_s) = (9.0, 4.0 * 10.0 + 9.0);
+    let mut waiting_cpu_s = 0.0;
+    let mut jobs = Vec::new();
+    // Twice the bound, which is crossed with some delay because machines are still added at first.
+    while waiting_cpu_s < 2.0 * capacity * patience_s {
+        let mut spec = plain_job(&mut world, 10, run_s);
+        (spec.cpus, spec.class) = (4.0, ClassId::new("flood"));
+        waiting_cpu_s += 10.0 * 4.0 * run_s - capacity;
+        jobs.push(world.submit(jobs.len() % CONTROLLERS, spec));
+        run_for(&mut world, 1_000);
+    }
+    run_for(&mut world, 30_000);
+    let quota = world.store.get(OVERLOAD_QUOTA_KEY);
+    let quota: OverloadQuota = quota
+        .map(|item| serde_json::from_str(item.value.get()).expect("a quota"))
+        .unwrap_or_default();
+    assert!(!quota.is_empty(), "{waiting_cpu_s} processor-seconds wait for {capacity} processors");
+    jobs.push(service);
+    end_services(&mut world, &jobs, "overload");
+}
