Log how an answer that a job is not known came about

At debug, the arrival of a request, the read that lacked the job and the look-up that found nothing are logged by event number.

--- a/crates/cleatfold-control/src/jobs/requests.rs
+++ b/crates/cleatfold-control/src/jobs/requests.rs
@@ -209,6 +209,12 @@
 
     /// Looks up a job without live records in the archive.
     fn look_up_in_archive(&mut self, job: JobId, waiting: Vec<WaitingRequest>) {
+        for w in &waiting {
+            tracing::debug!(
+                %job, arrival_event = w.arrival_event.0, read_event = self.event.0,
+                "no live record of job"
+            );
+        }
         match self.archive.join_or_start(&job, waiting, self.event) {
             JoinOutcome::Started => {
                 let request = StoreRequest::Get(archive_key(&job));
@@ -248,6 +254,10 @@
                         self.waiting_requests.push(w);
                         continue;
                     }
+                    tracing::debug!(
+                        job = %w.job, arrival_event = w.arrival_event.0,
+                        lookup_sent_event = sent_event.0, "no record of job"
+                    );
                     match w.kind {
                         WaitReason::Impossible(why) => {
                             self.reply(w.rid, Response::rejection(422, why))
