Supply and pool choice: as before where no service runs

Whole tasks now count only against what a limit has left beside services, and spot is left to where it was.

--- a/crates/cleatfold-control/src/leadership/pool_assignment.rs
+++ b/crates/cleatfold-control/src/leadership/pool_assignment.rs
@@ -34,21 +34,15 @@
 /// What the machines of a pool have beside the tasks that hold it until their job is cancelled.
 #[derive(Clone, Debug, Default)]
 struct PoolRoom {
-    /// Each amount once, with whether it is on a spot machine.
-    remainders: BTreeSet<(bool, Resources)>,
+    /// Each amount once.
+    remainders: BTreeSet<Resources>,
 }
 
 impl PoolRoom {
-    fn add(&mut self, spot: bool, remainder: Resources) {
-        self.remainders.insert((spot, remainder));
-    }
-
     /// Whether a task of the job can start on one of the machines, at the latest when other tasks
     /// end.
     fn has_room_for(&self, cached: &CachedJob) -> bool {
-        self.remainders.iter().any(|(spot, remainder)| {
-            (cached.record.spec.spot || !spot) && remainder.fits_one(&cached.task_resources)
-        })
+        self.remainders.iter().any(|remainder| remainder.fits_one(&cached.task_resources))
     }
 }
 
@@ -385,7 +379,7 @@
             let total = self.inventory.machine_resources(&m.pool.machine_type);
             let remainder = allocations.remainder(id, total);
             loads[i].processors += remainder.cpus.max(0) as f64 / 1000.0;
-            room[i].add(m.spot, remainder);
+            room[i].remainders.insert(remainder);
         }
         for (id, cached) in &self.cache.jobs {
             // The processors of tasks without an end are not counted above.
--- a/crates/cleatfold-control/src/machines/shortfall.rs
+++ b/crates/cleatfold-control/src/machines/shortfall.rs
@@ -12,8 +12,8 @@
 use cleatfold_wire::{MachineId, PoolId, ZoneId};
 use std::collections::BTreeMap;
 
-/// Smaller shortfalls are rounding errors.
-const MIN_SHORTFALL_CPUS: f64 = 1e-9;
+/// Smaller amounts are rounding errors.
+const ROUNDING_CPUS: f64 = 1e-9;
 
 /// Machines of one pool, on-demand or spot: the unit that the cloud sells at one price.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -92,6 +92,10 @@
     pub(crate) fn shortfalls(&self) -> Shortfalls {
         let mut headroom =
             self.team_headroom(|cached| self.fraction_still_used(cached.mean_remaining_time()));
+        let permanent_headroom = self.team_headroom(|cached| match cached.run_time() {
+            RunTime::UntilCancelled => 1.0,
+            RunTime::Ms(_) => 0.0,
+        });
         let mut supply = self.supply();
         let mut shortfalls = CpusByOffer::new();
         let mut totals = DemandTotals::default();
@@ -107,9 +111,11 @@
             totals.longest_wait_s = totals.longest_wait_s.max(self.waited_s(cached));
             totals.needed += demand.cpus;
             // Nor for tasks that the team's limit keeps from starting.
-            if let Some(headroom) = headroom.get_mut(&cached.record.spec.team) {
-                let fits_one = *headroom + MIN_SHORTFALL_CPUS >= cached.record.spec.cpus;
-                let startable = if fits_one { demand.cpus.min(*headroom) } else { 0.0 };
+            let spec = &cached.record.spec;
+            if let Some(headroom) = headroom.get_mut(&spec.team) {
+                let beside_services = permanent_headroom.get(&spec.team).copied();
+                let fits_one = beside_services.is_none_or(|left| left + ROUNDING_CPUS >= spec.cpus);
+                let startable = if fits_one { demand.cpus.min(*headroom).max(0.0) } else { 0.0 };
                 totals.limited += demand.cpus - startable;
                 demand.cpus = startable;
                 *headroom -= startable;
@@ -117,7 +123,7 @@
             let startable = demand.cpus;
             self.allocate_supply(cached, unclaimed, &mut demand, &mut supply);
             totals.covered += startable - demand.cpus;
-            if demand.cpus > MIN_SHORTFALL_CPUS {
+            if demand.cpus > ROUNDING_CPUS {
                 if let Some(offer) = self.best_offer(cached, &shortfalls, &demand, &machine_counts)
                 {
                     *shortfalls.entry(offer).or_default() += demand.cpus;
