--- a/crates/cleatfold-control/src/jobs/requests.rs
+++ b/crates/cleatfold-control/src/jobs/requests.rs
@@ -2,7 +2,7 @@
 
 use crate::controller::{Controller, EventNumber, Pending, Submission, WaitReason, WaitingRequest};
 use crate::effects::{CallPriority, Request, Response, StoreReply, StoreRequest};
-use crate::jobs::archive::JoinOutcome;
+use crate::jobs::archive::{AnsweredLookup, JoinOutcome};
 use crate::jobs::submissions::SUBMISSION_TIMEOUT_MS;
 use crate::store::records::{archive_key, job_status, ArchiveRecord, LossList, ARCHIVE_PREFIX};
 use cleatfold_wire::job::{JobState, JobStatus, StepCount};
@@ -231,53 +231,62 @@
 
     /// Handles the reply to an archive lookup.
     pub(crate) fn on_archive_record(&mut self, job: JobId, reply: StoreReply) {
-        let (sent_event, waiting) = self.archive.finish(&job);
+        let AnsweredLookup { sent_event, waiting, next } = self.archive.finish(&job);
         match reply {
             StoreReply::Item(item) => {
                 if !self.cache_archive_record(&job, item.value.get()) {
                     return;
                 }
-                for w in waiting {
+                for w in waiting.into_iter().chain(next) {
                     if let Some(status) = self.terminal_jobs.get(&job) {
                         self.reply(w.rid, Response::Status { code: 200, status });
                     }
                 }
             }
             StoreReply::Missing => {
-                for w in waiting {
-                    // The job may have been accepted after the lookup was sent: wait for another
-                    // read.
-                    let arrived_after_lookup = w.arrival_event > sent_event;
-                    let known = self.cache.jobs.contains_key(&job)
-                        || self.terminal_jobs.get(&job).is_some();
-                    if arrived_after_lookup || known {
-                        self.waiting_requests.push(w);
-                        continue;
-                    }
-                    tracing::debug!(
-                        job = %w.job, arrival_event = w.arrival_event.0,
-                        lookup_sent_event = sent_event.0, "no record of job"
-                    );
-                    match w.kind {
-                        WaitReason::Impossible(why) => {
-                            self.reply(w.rid, Response::rejection(422, why))
-                        }
-                        WaitReason::Known(spec) => {
-                            let (rid, arrived) = (w.rid, w.arrived);
-                            self.submitting.push(Submission { rid, spec, arrived });
-                        }
-                        _ => self.reply(w.rid, Response::rejection(404, "no such job")),
-                    }
+                self.answer_absent(&job, sent_event, waiting);
+                if !next.is_empty() {
+                    self.look_up_in_archive(job, next);
                 }
             }
             _ => {
-                for w in waiting {
+                for w in waiting.into_iter().chain(next) {
                     self.reply(w.rid, Response::retry_later("the state service does not answer"));
                 }
             }
         }
     }
 
+    /// Answers requests about a job that neither the live records nor the archive have. The lookup
+    /// in the archive was sent at `lookup_event`.
+    fn answer_absent(
+        &mut self,
+        job: &JobId,
+        lookup_event: EventNumber,
+        waiting: Vec<WaitingRequest>,
+    ) {
+        let is_known = self.cache.jobs.contains_key(job) || self.terminal_jobs.get(job).is_some();
+        for w in waiting {
+            // The job has been accepted since: wait for another read.
+            if is_known {
+                self.waiting_requests.push(w);
+                continue;
+            }
+            tracing::debug!(
+                %job, arrival_event = w.arrival_event.0, lookup_event = lookup_event.0,
+                "no record of job"
+            );
+            match w.kind {
+                WaitReason::Impossible(why) => self.reply(w.rid, Response::rejection(422, why)),
+                WaitReason::Known(spec) => {
+                    let (rid, arrived) = (w.rid, w.arrived);
+                    self.submitting.push(Submission { rid, spec, arrived });
+                }
+                _ => self.reply(w.rid, Response::rejection(404, "no such job")),
+            }
+        }
+    }
+
     /// Caches an archive record. False if it is unreadable.
     fn cache_archive_record(&mut self, job: &JobId, record: &str) -> bool {
         match serde_json::from_str::<ArchiveRecord>(record) {
--- a/crates/cleatfold-control/tests/answer_order.rs
+++ b/crates/cleatfold-control/tests/answer_order.rs
@@ -665,3 +665,69 @@
         assert!(prompt >= 0.95, "seed {seed}: {prompt:.3}");
     }
 }
+
+fn reads_archive_record(request: &StoreRequest, job: &JobId) -> bool {
+    matches!(request, StoreRequest::Get(key) if *key == records::archive_key(job))
+}
+
+/// Brings a controller into the situation in which the look-up of a job in the archive, sent for an earlier question, was
+/// executed before the job was accepted and is not answered yet, while `ask` asks about the job after its acceptance and a
+/// read shows that it is not live any more, because it was cancelled meanwhile. Returns the region after that look-up is
+/// answered.
+fn ask_during_earlier_lookup(seed: u64, ask: impl Fn(&mut World, &JobId)) -> (World, JobId) {
+    const ASKED: usize = 0;
+    const OTHER: usize = 1;
+    let mut world = ready_region(seed);
+    let mut spec = plain_job(&mut world, 1, 60.0);
+    spec.zone = Some(ZoneId::new("a"));
+    let job = spec.id.clone();
+    // The first question, about a job that is not submitted yet. The reading that answers it is held up.
+    world.know(&spec);
+    poll(&mut world, ASKED, &job);
+    let (first_read, event) =
+        hold_request(&mut world, "first read", |n, r| n == ASKED && is_changes_read(r));
+    world.handle_event(event);
+    let first_reply = take_reply(&mut world, &first_read).expect("answered");
+    world.submit(OTHER, spec);
+    while !world.jobs[&job].accepted {
+        run_for(&mut world, 1);
+    }
+    // The second question, after the acceptance. Then the first one's look-up is sent and executed.
+    ask(&mut world, &job);
+    world.handle_event(first_reply);
+    let (lookup, event) =
+        hold_request(&mut world, "look-up", |n, r| n == ASKED && reads_archive_record(r, &job));
+    world.handle_event(event);
+    let lookup_reply = take_reply(&mut world, &lookup).expect("answered");
+    // The next reading is executed after the cancellation, so it shows that the job is not live. The look-up is answered
+    // just after it.
+    let second_read =
+        hold_request(&mut world, "second read", |n, r| n == ASKED && is_changes_read(r));
+    cancel(&mut world, OTHER, &job);
+    while world.store.get(&records::archive_key(&job)).is_none() {
+        run_for(&mut world, 1);
+    }
+    execute_and_deliver_reply(&mut world, second_read);
+    world.handle_event(lookup_reply);
+    (world, job)
+}
+
+/// Guards against an absence that was established before a question counting for it: a question about an accepted job
+/// joined the look-up in the archive of an earlier question, and got its 404 although the job had been accepted, cancelled
+/// and archived in between. Questions, cancellations and repeated submissions wait for the same look-up.
+#[test]
+fn earlier_lookup_does_not_answer_later_request() {
+    type Ask = fn(&mut World, &JobId);
+    let kinds: [(&str, Ask); 3] = [
+        ("poll", |world, job| poll(world, 0, job)),
+        ("cancellation", |world, job| cancel(world, 0, job)),
+        ("submission", |world, job| world.submit_again(0, job)),
+    ];
+    for (seed, (what, ask)) in (11..).zip(kinds) {
+        let (mut world, job) = ask_during_earlier_lookup(seed, ask);
+        run_for(&mut world, 2_000);
+        assert_no_violations(&world, what);
+        let (code, state) = world.answers.last[&job];
+        assert_eq!((code, state), (200, Some(JobState::Aborted)), "{what}");
+    }
+}
