What a read says nothing about is decided in one place, by event

Five places asked whether a read of the state service was sent after a write had been answered, each by comparing milliseconds, one of them strictly. Session::has_read_since compares event numbers, as the requests of users do already. No user-visible fault is known from the old comparison: each of these writes is guarded by versions.

--- a/crates/cleatfold-control/src/leadership/pool_assignment.rs
+++ b/crates/cleatfold-control/src/leadership/pool_assignment.rs
@@ -149,7 +149,7 @@
     fn may_assign_pools(&mut self, since: Ms) -> bool {
         // The result of the last assignment must be read before the next one.
         let confirmed_at = self.leadership.assignment_confirmed_at;
-        let is_read = self.session.last_read.is_some_and(|read| read >= confirmed_at);
+        let is_read = self.session.has_read_since(confirmed_at);
         let is_pending = self.leadership.pending_assignment.is_some();
         if is_pending || !is_read || self.cache.controllers.is_empty() {
             return false;
@@ -337,7 +337,7 @@
     /// The assignment write was answered; its outcome is read with the next sync.
     pub(crate) fn on_assignment_written(&mut self, reply: StoreReply) {
         self.leadership.pending_assignment = None;
-        self.leadership.assignment_confirmed_at = self.now;
+        self.leadership.assignment_confirmed_at = self.event;
         self.session.sync_wanted = true;
         if matches!(reply, StoreReply::Committed(_)) {
             self.send_to_peers(None, Message::Changed);
--- a/crates/cleatfold-control/src/leadership/state.rs
+++ b/crates/cleatfold-control/src/leadership/state.rs
@@ -1,5 +1,6 @@
 //! State of role acquisition and of pool and job assignment.
 
+use crate::event_number::EventNumber;
 use cleatfold_roles::RoleAssignment;
 use cleatfold_wire::{Ms, PoolId};
 use std::collections::BTreeMap;
@@ -14,8 +15,9 @@
     pub pending_assignment: Option<u64>,
     /// When it was last checked whether pools have to be assigned.
     pub assignment_checked_at: Ms,
-    /// When the last assignment write was answered; any sync sent since then reads its result.
-    pub assignment_confirmed_at: Ms,
+    /// The event at which the last assignment write was answered; any sync sent since reads its
+    /// result.
+    pub assignment_confirmed_at: EventNumber,
     /// When each pool was last assigned, as far as this controller knows.
     pub pool_assigned_at: BTreeMap<PoolId, Ms>,
     /// When jobs were last assigned to pools.
--- a/crates/cleatfold-control/src/machines/scale_out.rs
+++ b/crates/cleatfold-control/src/machines/scale_out.rs
@@ -5,7 +5,7 @@
 //! first recorded as an intent under the role's epoch: a former holder's write fails, so it makes
 //! no request. The successor repeats the recorded requests under the same names.
 
-use crate::controller::{Controller, Pending};
+use crate::controller::{Controller, EventNumber, Pending};
 use crate::effects::{CallPriority, CloudReply, CloudRequest, StoreReply, StoreRequest};
 use crate::machines::inventory::Machine;
 use crate::machines::shortfall::{DemandTotals, Offer, Shortfalls};
@@ -35,9 +35,9 @@
     request_counter: u64,
     last_checked: Ms,
     write_in_flight: bool,
-    /// When the reply to a write arrived without confirming it. The cache may lack the effect of
+    /// The event at which the reply to a write arrived without confirming it. The cache may lack the effect of
     /// the write until a read that was sent later has completed.
-    unconfirmed_since: Option<Ms>,
+    unconfirmed_since: Option<EventNumber>,
     /// When the log last said why no machine is requested for jobs that wait.
     explained_at: Ms,
 }
@@ -56,10 +56,8 @@
             return;
         }
         self.scale_out.last_checked = self.now;
-        let is_read = self
-            .scale_out
-            .unconfirmed_since
-            .is_none_or(|since| self.session.last_read.is_some_and(|read| read > since));
+        let is_read =
+            self.scale_out.unconfirmed_since.is_none_or(|since| self.session.has_read_since(since));
         if self.scale_out.write_in_flight || !is_read {
             return;
         }
@@ -160,7 +158,7 @@
             // The write may have succeeded: the intents are then treated like those of a former
             // holder.
             _ => {
-                self.scale_out.unconfirmed_since = Some(self.now);
+                self.scale_out.unconfirmed_since = Some(self.event);
                 self.session.sync_wanted = true;
             }
         }
--- a/crates/cleatfold-control/src/namespaces/workspace_state.rs
+++ b/crates/cleatfold-control/src/namespaces/workspace_state.rs
@@ -1,5 +1,6 @@
 //! The workspaces that this controller owns, and the changes to their histories that are in flight.
 
+use crate::event_number::EventNumber;
 use crate::store::records::{HistoryGroup, HistoryHead};
 use cleatfold_roles::OwnershipTracker;
 use cleatfold_wire::store::{Item, Txn};
@@ -20,18 +21,18 @@
     pub histories_checked_at: Ms,
     /// When changes of the archive were last requested for the histories.
     pub archive_requested_at: Ms,
-    /// When a write of ownership records last failed or had an unknown outcome. No workspace is
+    /// The event at which a write of ownership records last failed or had an unknown outcome. No workspace is
     /// taken or handed over until the reply to a read that was sent since has arrived.
-    pub ownership_uncertain_at: Option<Ms>,
+    pub ownership_uncertain_at: Option<EventNumber>,
 }
 
 /// A workspace that this controller owns under a fencing token.
 pub(crate) struct OwnedWorkspace {
     pub token: Version,
     pub write_in_flight: bool,
-    /// When a write of the history last failed or had an unknown outcome. Nothing is written until
+    /// The event at which a write of the history last failed or had an unknown outcome. Nothing is written until
     /// the reply to a read that was sent since has arrived.
-    pub history_uncertain_at: Option<Ms>,
+    pub history_uncertain_at: Option<EventNumber>,
     pub retention_checked_at: Ms,
     pub retention_running: bool,
     /// Groups that the next write deletes, and the number of the first entry that remains.
--- a/crates/cleatfold-control/src/namespaces/workspaces.rs
+++ b/crates/cleatfold-control/src/namespaces/workspaces.rs
@@ -104,7 +104,7 @@
         let is_uncertain = self
             .workspaces
             .ownership_uncertain_at
-            .is_some_and(|at| self.session.last_read.is_none_or(|read| read < at));
+            .is_some_and(|at| !self.session.has_read_since(at));
         let incarnation =
             self.session.incarnation.filter(|i| registered == Some(*i) && !is_uncertain);
         if let Some(incarnation) =
@@ -172,7 +172,7 @@
             _ => {
                 // The write may have been executed, or another controller's may have: the next read
                 // of the state service shows which.
-                self.workspaces.ownership_uncertain_at = Some(self.now);
+                self.workspaces.ownership_uncertain_at = Some(self.event);
                 None
             }
         };
@@ -351,12 +351,10 @@
                 continue;
             }
             let Versioned { version, value: head } = self.history_head(&team);
-            let last_read = self.session.last_read;
+            let session = &self.session;
             let Some(owned) = self.workspaces.owned.get_mut(&team) else { continue };
             if owned.write_in_flight
-                || owned
-                    .history_uncertain_at
-                    .is_some_and(|at| last_read.is_none_or(|read| read < at))
+                || owned.history_uncertain_at.is_some_and(|at| !session.has_read_since(at))
             {
                 continue;
             }
@@ -403,7 +401,7 @@
     }
 
     pub(crate) fn on_history_written(&mut self, op: u64, write: HistoryWrite, reply: StoreReply) {
-        let now = self.now;
+        let event = self.event;
         match reply {
             StoreReply::Committed(version) => {
                 if self.history_head(&write.team).version < version {
@@ -426,7 +424,7 @@
             }
             _ => {
                 if let Some(owned) = self.workspaces.owned.get_mut(&write.team) {
-                    owned.history_uncertain_at = Some(now);
+                    owned.history_uncertain_at = Some(event);
                 }
                 self.session.sync_wanted = true;
             }
--- a/crates/cleatfold-control/src/store/session.rs
+++ b/crates/cleatfold-control/src/store/session.rs
@@ -30,8 +30,8 @@
     pub incarnation: Option<u64>,
     /// The write of this controller's record is in flight.
     registering: bool,
-    /// When the last such write was answered; its outcome shows in reads sent since.
-    registered_at: Option<Ms>,
+    /// The event at which the last such write was answered; its outcome shows in reads sent since.
+    registered_at: Option<EventNumber>,
     /// The listing that fills the cache is complete.
     pub is_loaded: bool,
     /// A request for a page of the listing is in flight.
@@ -48,10 +48,21 @@
     pub sync_wanted: bool,
     /// When the newest completed read was sent. The cache includes every change made before.
     pub last_read: Option<Ms>,
+    /// The event at which the newest completed read was sent.
+    last_read_event: Option<EventNumber>,
     /// Time of the last call that the state service failed to answer.
     pub last_failure: Option<Ms>,
 }
 
+impl Session {
+    /// Whether a read that was sent at this event or later has completed: only what such a read
+    /// shows, or does not show, says anything about what happened before the event. Times don't
+    /// order what happens within a millisecond.
+    pub(crate) fn has_read_since(&self, event: EventNumber) -> bool {
+        self.last_read_event.is_some_and(|read| read >= event)
+    }
+}
+
 impl Controller {
     /// Whether the state service has answered a read recently.
     pub(crate) fn has_store_contact(&self) -> bool {
@@ -97,9 +108,7 @@
             return;
         };
         let registered = self.cache.controllers.get(&self.cfg.controller_id);
-        let last_read = self.session.last_read;
-        let is_read =
-            self.session.registered_at.is_none_or(|at| last_read.is_some_and(|read| read >= at));
+        let is_read = self.session.registered_at.is_none_or(|at| self.session.has_read_since(at));
         let is_registered = registered.map(|record| record.value.incarnation) == Some(incarnation);
         if self.session.registering || !self.session.is_loaded || !is_read || is_registered {
             return;
@@ -142,7 +151,7 @@
 
     pub(crate) fn on_registered(&mut self, reply: StoreReply) {
         self.session.registering = false;
-        self.session.registered_at = Some(self.now);
+        self.session.registered_at = Some(self.event);
         if let StoreReply::Invalid(_) = reply {
             self.session.lease = None;
         }
@@ -251,6 +260,7 @@
         self.cache.applied_revision = self.cache.applied_revision.max(events.revision);
         self.session.last_read =
             Some(self.session.last_read.map_or(sent, |last_read| last_read.max(sent)));
+        self.session.last_read_event = self.session.last_read_event.max(Some(sent_event));
         self.reachability.view.worker_release.reset();
         if self.quota.unread_claims_since.is_some_and(|since| since <= sent_event) {
             self.quota.unread_claims_since = None;
