Testbed: services of all shapes, and a watch for jobs for which nothing is rented

Users of services submit replicas that take the processors or the memory of a machine, or leave fragments, and cancel them after a while.

--- a/crates/cleatfold-control/tests/services.rs
+++ b/crates/cleatfold-control/tests/services.rs
@@ -5,7 +5,7 @@
 
 use cleatfold_admission::OverloadQuota;
 use cleatfold_control::records::OVERLOAD_QUOTA_KEY;
-use cleatfold_testbed::world::{team_id, Size, World, CONTROLLERS};
+use cleatfold_testbed::world::{team_id, SimulationEvent, Size, World, CONTROLLERS};
 use cleatfold_wire::job::{Elastic, JobSpec, Kind, Urgency};
 use cleatfold_wire::*;
 use scenario::{assert_all_jobs_end, cancel, plain_job, region, run_for};
@@ -196,3 +196,28 @@
     jobs.push(service);
     end_services(&mut world, &jobs, "overload");
 }
+
+/// Few jobs beside services of all shapes, in a region that has room to grow, with a machine and at times a controller
+/// lost. The simulation watches for jobs that wait beside a machine with room, and for jobs that wait while no machine has
+/// room and nothing is rented.
+#[test]
+fn few_jobs_run_beside_services_of_all_shapes() {
+    for seed in 1..13u64 {
+        let mut world = ready_region(seed, 40);
+        world.run_services(Ms(200_000));
+        for n in 0..16 {
+            let spec = world.some_job();
+            world.submit(n % CONTROLLERS, spec);
+            run_for(&mut world, 12_000);
+            if n == 8 && seed % 2 == 0 {
+                world.crash(seed as usize % CONTROLLERS, 6_000);
+            }
+            if n == 10 {
+                let machine = world.running.values().next().expect("services run").clone();
+                world.handle_event(SimulationEvent::Die(machine));
+            }
+        }
+        world.run(Ms(370_000));
+        assert_all_jobs_end(&mut world, 200_000, &format!("seed {seed}"));
+    }
+}
--- a/crates/cleatfold-testbed/src/world.rs
+++ b/crates/cleatfold-testbed/src/world.rs
@@ -20,6 +20,8 @@
 mod priority_watch;
 mod queries;
 mod quick_restarts;
+mod scale_out_watch;
+mod service_users;
 mod services;
 mod size;
 mod sizes;
@@ -142,6 +144,8 @@
     ApplyFault(Fault, u64),
     /// The same, befalling whom the pair of troubles says.
     Meets(Fault, u64, Aim),
+    /// Users of services.
+    ServiceUsers,
     /// Users that submit and cancel all the time.
     GenerateLoad,
     /// A copy of a report comes to a controller; nobody waits for the answer.
@@ -313,6 +317,8 @@
     pub command_faults: commands::CommandFaults,
     pub cancel_watch: cancelled::CancelWatch,
     pub starvation: starvation::Starvation,
+    pub scale_out_watch: scale_out_watch::ScaleOutWatch,
+    pub service_users: service_users::ServiceUsers,
     /// What changes were spent on.
     pub written: ChangeCounts,
     /// What the controllers asked for, if that is wanted.
@@ -400,6 +406,8 @@
             command_faults: Default::default(),
             cancel_watch: Default::default(),
             starvation: Default::default(),
+            scale_out_watch: Default::default(),
+            service_users: Default::default(),
             written: Default::default(),
             digest: None,
         };
@@ -566,6 +574,7 @@
             SimulationEvent::Wake(id) => self.wake(&id),
             SimulationEvent::ApplyFault(fault, for_ms) => self.apply_fault(fault, for_ms),
             SimulationEvent::Meets(fault, for_ms, aim) => self.meets(fault, for_ms, aim),
+            SimulationEvent::ServiceUsers => self.use_services(),
             SimulationEvent::GenerateLoad => self.generate_load(),
             SimulationEvent::Copy(controller, report) => self.copy_arrives(controller, *report),
             SimulationEvent::Cancels(job) => self.cancels(job),
--- a/crates/cleatfold-testbed/src/world/starvation.rs
+++ b/crates/cleatfold-testbed/src/world/starvation.rs
@@ -84,7 +84,7 @@
             return;
         }
         self.starvation.last_checked = self.now;
-        if self.now <= self.all_faults_over() || self.changes_are_used_up() {
+        if self.starvation_is_excused() {
             self.starvation.since.clear();
             self.starvation.looks.clear();
             return;
@@ -108,6 +108,19 @@
         }
     }
 
+    /// Whether jobs may be left waiting now.
+    pub(super) fn starvation_is_excused(&self) -> bool {
+        self.now <= self.all_faults_over() || self.changes_are_used_up()
+    }
+
+    /// Whether a machine has room for a task of the job at this moment.
+    pub(super) fn has_room_now(&self, spec: &JobSpec) -> bool {
+        self.free_on_machines().into_iter().any(|(id, (cpus, memory_gb))| {
+            let worker = self.workers.get(&id);
+            worker.is_some_and(|worker| Vacancy { worker, cpus, memory_gb }.places(spec) > 0)
+        })
+    }
+
     /// Whether the state service takes no more changes: then no claim can be made, whatever room machines have.
     /// (A region that is sent twice the jobs that its changes allow has idle machines for minutes.)
     fn changes_are_used_up(&self) -> bool {
@@ -149,7 +162,7 @@
     }
 
     /// Accepted, not cancelled, not ended, and not one that fails wherever it runs.
-    fn is_open(&self, id: &JobId, watch: &JobWatch) -> bool {
+    pub(super) fn is_open(&self, id: &JobId, watch: &JobWatch) -> bool {
         watch.accepted
             && !watch.cancel_asked
             && !watch.answered_state.is_some_and(JobState::is_final)
--- a/crates/cleatfold-testbed/src/world/watch.rs
+++ b/crates/cleatfold-testbed/src/world/watch.rs
@@ -15,6 +15,7 @@
             self.watch_answers();
             self.watch_cancelled();
             self.watch_starvation();
+            self.watch_scale_out();
             for task in self.running.keys() {
                 let confirmed = self.jobs.get(&task.job).and_then(|w| w.cancel_confirmed);
                 if confirmed.is_some_and(|t| self.now.since(t) > self.size.cancel_ms) {
