--- a/crates/cleatfold-control/tests/answer_order.rs
+++ b/crates/cleatfold-control/tests/answer_order.rs
@@ -5,7 +5,7 @@
 
 use cleatfold_control::{records, Event, Request, StoreReply, StoreRequest};
 use cleatfold_testbed::world::{Asked, Purpose, Query, SimulationEvent, Size, World, CONTROLLERS};
-use cleatfold_wire::job::{JobSpec, JobState};
+use cleatfold_wire::job::{JobSpec, JobState, Kind};
 use cleatfold_wire::store::Txn;
 use cleatfold_wire::*;
 use scenario::*;
@@ -233,6 +233,34 @@
     }
 }
 
+/// Users ask all controllers about jobs before, while and after they are accepted and cancelled, and the state service
+/// answers slowly now and then. Guards against an answer by readings that were not sent in order after the question.
+#[test]
+fn questions_around_acceptance_agree_while_store_is_slow() {
+    for seed in 1..9 {
+        let mut world = region(seed, 2);
+        world.run(Ms(4_000));
+        // All machines are in use: what is cancelled has no claims, and is archived at once.
+        let mut service = plain_job(&mut world, 2, 0.0);
+        (service.kind, service.cpus) = (Kind::Service, 8.0);
+        world.submit(0, service);
+        run_for(&mut world, 15_000);
+        world.slow_now_and_then(0.3, Ms(100_000));
+        for n in 0..120 {
+            let spec = plain_job(&mut world, 2, 4.0);
+            let job = spec.id.clone();
+            world.know(&spec);
+            world.ask_around_submission(&job);
+            run_for(&mut world, 40 * (n as u64 % 5));
+            world.submit_again(n % CONTROLLERS, &job);
+            run_for(&mut world, 600);
+        }
+        assert_no_violations(&world, &format!("seed {seed}"));
+        let cancelled = world.jobs.values().filter(|w| w.cancel_confirmed.is_some()).count();
+        assert!(cancelled > 30, "seed {seed}: {cancelled} cancelled");
+    }
+}
+
 /// A change of each kind is executed at once and its reply is lost, while users poll, resubmit and cancel at all
 /// controllers.
 #[test]
--- a/crates/cleatfold-testbed/src/world/answers.rs
+++ b/crates/cleatfold-testbed/src/world/answers.rs
@@ -21,6 +21,11 @@
 /// how many milliseconds.
 const LOOKS: u32 = 3;
 const QUERY_WINDOW_MS: u64 = 6;
+/// So often each controller is asked about a job around its submission, and within how many milliseconds.
+const EARLY_QUESTIONS: u32 = 8;
+const EARLY_WINDOW_MS: u64 = 500;
+/// Of these jobs, so many are cancelled in that time.
+const CANCELLED_EARLY: f64 = 0.7;
 /// Of the jobs that were just accepted, so many are cancelled at once.
 const CANCELLED_AT_ONCE: f64 = 0.15;
 /// Users that cancel as a job ends do so within this time after its last task.
@@ -81,6 +86,19 @@
         self.over_at(until);
     }
 
+    /// Users ask all controllers about a job from before its submission on, and may cancel it.
+    pub fn ask_around_submission(&mut self, id: &JobId) {
+        for controller in 0..self.controllers.len() {
+            for _ in 0..EARLY_QUESTIONS {
+                self.query_within(controller, id, Query::Polls, EARLY_WINDOW_MS);
+            }
+        }
+        if self.rng.random_bool(CANCELLED_EARLY) {
+            let controller = self.rng.random_range(0..self.controllers.len());
+            self.query_within(controller, id, Query::Cancels, EARLY_WINDOW_MS);
+        }
+    }
+
     /// Until then the answers to so large a share of transactions are lost, which are carried out at once.
     pub fn lose_answers(&mut self, of_all: f64, until: Ms) {
         self.answers.lost = Some(Share { of_all, until });
--- a/crates/cleatfold-testbed/src/world/arrivals.rs
+++ b/crates/cleatfold-testbed/src/world/arrivals.rs
@@ -12,7 +12,7 @@
     pub(super) fn send_store_request(&mut self, controller: usize, op: u64, request: StoreRequest) {
         let life = self.lives[controller];
         let mut delay = self.delay(controller) + self.faults.held_apart(controller, self.now);
-        delay += self.late_by(&request);
+        delay += self.late_by(&request) + self.store_slowness();
         let lost = self.fault && self.rng.random_bool(0.01);
         if lost && self.rng.random_bool(0.5) {
             // It arrives, but long after its sender gave up.
@@ -88,7 +88,10 @@
         }
         if answered {
             let back = self.meetings.back.remove(&(controller, life, op)).unwrap_or_default();
-            let late = self.slow_answers[controller] + self.commit_late(controller, is_txn) + back;
+            let late = self.slow_answers[controller]
+                + self.commit_late(controller, is_txn)
+                + self.store_slowness()
+                + back;
             let delay = self.delay(controller) + late;
             let event = Box::new(Event::Store { op, reply });
             self.at(delay, SimulationEvent::Controller(controller, life, event));
--- a/crates/cleatfold-testbed/src/world/fault_schedule.rs
+++ b/crates/cleatfold-testbed/src/world/fault_schedule.rs
@@ -6,10 +6,15 @@
 };
 use cleatfold_control::records::{self, Key, TaskTable};
 
+/// The protocol: usually under 10 ms, and now and then a few hundred.
+const SLOW_ANSWER_MS: std::ops::Range<u64> = 50..400;
+
 #[derive(Default)]
 pub struct FaultSchedule {
     /// Controllers whose transactions are answered late, by up to so much, until when. Readings are not.
     pub late_commits: BTreeMap<usize, (u64, Ms)>,
+    /// The share of the requests to the state service and of its answers that are slow, and until when.
+    slow_store: Option<(f64, Ms)>,
     /// How long tasks run, where that is not by their number.
     pub runs: BTreeMap<TaskId, u64>,
     /// Direct orders arrive up to so much later, until when; and whether their answers are lost.
@@ -34,6 +39,21 @@
         }
     }
 
+    /// Until then so large a share of the requests to the state service, and of its answers, takes up to a few hundred
+    /// milliseconds.
+    pub fn slow_now_and_then(&mut self, share: f64, until: Ms) {
+        self.fault_schedule.slow_store = Some((share, until));
+    }
+
+    pub(super) fn store_slowness(&mut self) -> u64 {
+        match self.fault_schedule.slow_store {
+            Some((share, until)) if until > self.now && self.rng.random_bool(share) => {
+                self.rng.random_range(SLOW_ANSWER_MS)
+            }
+            _ => 0,
+        }
+    }
+
     pub(super) fn order_late(&mut self) -> u64 {
         match self.fault_schedule.late_orders {
             Some((most, until, _)) if until > self.now => {
