Requests about a job with an unreadable archive record are answered

Callers got no answer at all: the look-up's reply took their requests out of the list and returned when the record could not be parsed. They now get 503 and repeat.

Before: unreadable_archive_record_is_answered_to_be_retried 'left: None' instead of 503. Now it passes.

--- a/crates/cleatfold-control/src/jobs/requests.rs
+++ b/crates/cleatfold-control/src/jobs/requests.rs
@@ -234,13 +234,13 @@
         let AnsweredLookup { sent_event, waiting, next } = self.archive.finish(&job);
         match reply {
             StoreReply::Item(item) => {
-                if !self.cache_archive_record(&job, item.value.get()) {
-                    return;
-                }
+                self.cache_archive_record(&job, item.value.get());
                 for w in waiting.into_iter().chain(next) {
-                    if let Some(status) = self.terminal_jobs.get(&job) {
-                        self.reply(w.rid, Response::Status { code: 200, status });
-                    }
+                    let response = match self.terminal_jobs.get(&job) {
+                        Some(status) => Response::Status { code: 200, status },
+                        None => Response::retry_later("the job's record cannot be read"),
+                    };
+                    self.reply(w.rid, response);
                 }
             }
             StoreReply::Missing => {
@@ -287,8 +287,8 @@
         }
     }
 
-    /// Caches an archive record. False if it is unreadable.
-    fn cache_archive_record(&mut self, job: &JobId, record: &str) -> bool {
+    /// Caches an archive record unless it is unreadable.
+    fn cache_archive_record(&mut self, job: &JobId, record: &str) {
         match serde_json::from_str::<ArchiveRecord>(record) {
             Ok(archive) => {
                 self.record_ended_job_losses(job, &archive);
@@ -296,10 +296,8 @@
             }
             Err(error) => {
                 tracing::error!(job = %job, %error, "unreadable archive record");
-                return false;
             }
         }
-        true
     }
 
     /// Reads in bulk how jobs ended that other controllers removed from the live records, so that
--- a/crates/cleatfold-control/tests/answer_order.rs
+++ b/crates/cleatfold-control/tests/answer_order.rs
@@ -759,3 +759,19 @@
         assert_eq!((code, state), (200, Some(JobState::Aborted)), "{what}");
     }
 }
+
+/// Guards against requests that are never answered because the job's archive record cannot be read: they are to be
+/// repeated, and the job is not said to be unknown.
+#[test]
+fn unreadable_archive_record_is_answered_to_be_retried() {
+    let mut world = ready_region(21);
+    let spec = plain_job(&mut world, 1, 6.0);
+    let job = spec.id.clone();
+    world.know(&spec);
+    let mut txn = Txn::default();
+    txn.put(records::archive_key(&job), &"not a record", None);
+    world.store.txn(&txn).expect("written");
+    poll(&mut world, 0, &job);
+    run_for(&mut world, 2_000);
+    assert_eq!(world.answers.last.get(&job), Some(&(503, None)));
+}
