A zone that has its half of a spread service is no supply for the rest

Callers saw two of four replicas run for good, with nothing rented. Cause: of a spread job the supply counted room in each zone for half of the waiting tasks and one more, without those that ran there, and replicas never make room. For a service a zone now counts with what is left of its half.

Before: machine_is_requested_where_zone_has_its_half_of_spread_service 'the service: 2 of 4 tasks run' after 60 s. Now it passes.

--- a/crates/cleatfold-control/src/machines/shortfall.rs
+++ b/crates/cleatfold-control/src/machines/shortfall.rs
@@ -9,7 +9,7 @@
 use cleatfold_backfill::Resources;
 use cleatfold_roles::ScaleOutIntent;
 use cleatfold_wire::job::Kind;
-use cleatfold_wire::{MachineId, PoolId, ZoneId};
+use cleatfold_wire::{JobId, MachineId, PoolId, ZoneId};
 use std::collections::BTreeMap;
 
 /// Smaller amounts are rounding errors.
@@ -52,15 +52,17 @@
 struct CpuDemand {
     /// Processors not yet covered by the supply.
     cpus: f64,
-    /// Maximum number of processors that the job may use in one zone.
-    max_per_zone: f64,
+    /// Of a spread job: processors that it may still use in each zone. Empty if it may use any.
+    max_by_zone: BTreeMap<ZoneId, f64>,
     /// Processors of the supply allocated to the job, by zone.
     allocated_by_zone: BTreeMap<ZoneId, f64>,
 }
 
 impl CpuDemand {
-    fn is_zone_full(&self, zone: &ZoneId) -> bool {
-        self.allocated_by_zone.get(zone).is_some_and(|allocated| *allocated >= self.max_per_zone)
+    /// Processors that the job may still be allocated in a zone.
+    fn left_in_zone(&self, zone: &ZoneId) -> f64 {
+        let max = self.max_by_zone.get(zone).copied().unwrap_or(f64::INFINITY);
+        max - self.allocated_by_zone.get(zone).copied().unwrap_or(0.0)
     }
 }
 
@@ -107,7 +109,7 @@
             if is_growth || (self.is_suspect(&id, cached) && has_room()) {
                 continue;
             }
-            let mut demand = self.cpu_demand(cached, unclaimed);
+            let mut demand = self.cpu_demand(&id, cached, unclaimed);
             totals.longest_wait_s = totals.longest_wait_s.max(self.waited_s(cached));
             totals.needed += demand.cpus;
             // Nor for tasks that the team's limit keeps from starting.
@@ -196,7 +198,7 @@
     }
 
     /// Processors that a job needs to start its unclaimed tasks in time.
-    fn cpu_demand(&self, cached: &CachedJob, unclaimed: u32) -> CpuDemand {
+    fn cpu_demand(&self, id: &JobId, cached: &CachedJob, unclaimed: u32) -> CpuDemand {
         let spec = &cached.record.spec;
         let target_wait_s = (self.slack_s(cached) * 0.8).clamp(5.0, 120.0);
         // The tasks of a gang run at the same time, and replicas make no room for one another.
@@ -205,10 +207,33 @@
             _ => target_wait_s,
         };
         let all_cpus = f64::from(unclaimed) * spec.cpus;
-        // Of a spread job, each zone may run only half.
-        let max_per_zone = if spec.spread { all_cpus / 2.0 + spec.cpus } else { f64::INFINITY };
         let cpus = all_cpus.min(all_cpus * run_s / target_wait_s).max(spec.cpus);
-        CpuDemand { cpus, max_per_zone, allocated_by_zone: BTreeMap::new() }
+        let max_by_zone = self.max_cpus_by_zone(id, cached, all_cpus);
+        CpuDemand { cpus, max_by_zone, allocated_by_zone: BTreeMap::new() }
+    }
+
+    /// Processors that a spread job, of which tasks with `waiting_cpus` wait, may still use in each
+    /// zone: each may run only half of the tasks. Replicas that run there stay; other tasks make
+    /// room for the next.
+    fn max_cpus_by_zone(
+        &self,
+        id: &JobId,
+        cached: &CachedJob,
+        waiting_cpus: f64,
+    ) -> BTreeMap<ZoneId, f64> {
+        let spec = &cached.record.spec;
+        if !spec.spread {
+            return BTreeMap::new();
+        }
+        let max_in_zone = |zone: &ZoneId| match cached.run_time() {
+            RunTime::UntilCancelled => {
+                let half = spec.tasks.div_ceil(2);
+                f64::from(half.saturating_sub(self.claimed_in_zone(id, zone))) * spec.cpus
+            }
+            RunTime::Ms(_) => waiting_cpus / 2.0 + spec.cpus,
+        };
+        let zones = self.inventory.pools().into_iter().map(|pool| pool.zone);
+        zones.map(|zone| (zone.clone(), max_in_zone(&zone))).collect()
     }
 
     /// Allocates to a job what it may use of the supply.
@@ -228,16 +253,11 @@
             }
             let tasks = group.remainder.fitting_tasks(&cached.task_resources, unclaimed);
             let usable_cpus = f64::from(tasks) * f64::from(*machines) * cached.record.spec.cpus;
-            let allocated_in_zone =
-                demand.allocated_by_zone.entry(group.offer.pool.zone.clone()).or_default();
-            let allocated = demand
-                .cpus
-                .min(*free_cpus)
-                .min(usable_cpus)
-                .min(demand.max_per_zone - *allocated_in_zone)
-                .max(0.0);
+            let zone = &group.offer.pool.zone;
+            let left_in_zone = demand.left_in_zone(zone);
+            let allocated = demand.cpus.min(*free_cpus).min(usable_cpus).min(left_in_zone).max(0.0);
             *free_cpus -= allocated;
-            *allocated_in_zone += allocated;
+            *demand.allocated_by_zone.entry(zone.clone()).or_default() += allocated;
             demand.cpus -= allocated;
         }
     }
@@ -269,7 +289,7 @@
         let machine_count = self.inventory.machines.len().max(1) as f64;
         for pool in self.inventory.pools() {
             let Some(machine_type) = self.inventory.types.get(&pool.machine_type) else { continue };
-            if demand.is_zone_full(&pool.zone)
+            if demand.left_in_zone(&pool.zone) <= 0.0
                 || machine_type.cpus <= 0.0
                 || !self.can_run_in(cached, &pool)
             {
--- a/crates/cleatfold-control/src/scheduling/planning.rs
+++ b/crates/cleatfold-control/src/scheduling/planning.rs
@@ -389,7 +389,7 @@
     }
 
     /// How many tasks of the job are claimed in the zone.
-    fn claimed_in_zone(&self, job: &JobId, zone: &ZoneId) -> u32 {
+    pub(crate) fn claimed_in_zone(&self, job: &JobId, zone: &ZoneId) -> u32 {
         self.cache
             .tables(job)
             .flat_map(|t| &t.claims)
--- a/crates/cleatfold-control/tests/services.rs
+++ b/crates/cleatfold-control/tests/services.rs
@@ -82,6 +82,21 @@
     end_services(&mut world, &[first, second], "two services");
 }
 
+/// Guards against room in a zone that already has its half of a spread service passing for supply: the last replica was
+/// never started, and no machine was requested for it.
+#[test]
+fn machine_is_requested_where_zone_has_its_half_of_spread_service() {
+    let mut world = ready_region(11, 24);
+    // Each replica takes most of the memory of a machine, and leaves 7 of 8 processors.
+    let mut spec = service(&mut world, 3, 1.0, 20.0);
+    (spec.zone, spec.types) = (Some(ZoneId::new("a")), Some(vec![TypeId::new("small")]));
+    let first = start_service(&mut world, spec);
+    let mut spec = service(&mut world, 4, 7.0, 1.0);
+    spec.spread = true;
+    let spread = start_service(&mut world, spec);
+    end_services(&mut world, &[first, spread], "a spread service");
+}
+
 /// Guards against the members that an elastic job needs at least passing for supply, whatever its estimate says: its
 /// run time follows from its steps.
 #[test]
