Testbed: all ports of a run are held until the last one is known

One of the two controllers had ended with 'Address already in use': the mesh port of the first was the users' port of the second. Ports were asked for one by one, each released before the next.

Now all are different.

--- a/crates/cleatfold-testbed/src/controllers.rs
+++ b/crates/cleatfold-testbed/src/controllers.rs
@@ -27,9 +27,13 @@
     children: Vec<Option<Child>>,
 }
 
-/// A port that was free a moment ago.
-fn free_port() -> std::io::Result<u16> {
-    Ok(std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+/// Different ports that were free a moment ago. All of them are held until the last one is known: a port that is
+/// released may be the next one that is given out.
+pub fn free_ports(count: usize) -> std::io::Result<Vec<u16>> {
+    let listeners: Vec<std::net::TcpListener> = (0..count)
+        .map(|_| std::net::TcpListener::bind("127.0.0.1:0"))
+        .collect::<std::io::Result<_>>()?;
+    listeners.iter().map(|listener| Ok(listener.local_addr()?.port())).collect()
 }
 
 /// The controller's program, built beside this one.
@@ -78,8 +82,8 @@
         std::fs::create_dir_all(&dir)?;
         let ids: Vec<ControllerId> =
             (0..count).map(|i| ControllerId::new(format!("lab-{i}"))).collect();
-        let ports: Vec<(u16, u16)> =
-            (0..count).map(|_| Ok((free_port()?, free_port()?))).collect::<std::io::Result<_>>()?;
+        let ports = free_ports(2 * count)?;
+        let ports: Vec<(u16, u16)> = ports.chunks_exact(2).map(|pair| (pair[0], pair[1])).collect();
         let mesh_addresses: Vec<String> =
             ports.iter().map(|p| format!("127.0.0.1:{}", p.1)).collect();
         let (region, cluster) = (layout.region, layout.cluster);
--- a/crates/cleatfold-testbed/tests/capacity.rs
+++ b/crates/cleatfold-testbed/tests/capacity.rs
@@ -6,7 +6,9 @@
 use cleatfold_testbed::capacity::traffic::Traffic;
 use cleatfold_testbed::capacity::usage;
 use cleatfold_testbed::capacity::watch::Watch;
+use cleatfold_testbed::controllers::free_ports;
 use cleatfold_wire::{MachineId, TaskId, TaskIx};
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -167,6 +169,16 @@
     assert_eq!(size["submissions_given_up"], 0, "{size:#}");
 }
 
+/// Guards against two controllers of one run being given the same port: one of them could not start, and the run waited for
+/// it in vain.
+#[test]
+fn controllers_get_different_ports() {
+    const PORTS: usize = 400;
+    let ports = free_ports(PORTS).expect("so many are free");
+    let different: BTreeSet<u16> = ports.into_iter().collect();
+    assert_eq!(different.len(), PORTS);
+}
+
 fn wait_until(what: &str, is_so: impl Fn() -> bool) {
     let since = Instant::now();
     while !is_so() {
